Add the framework and the pure parts of routing, credits, tickets and spread

Cause: the project has no code yet. Change: kernel with self-registering modules, closed error table, capped HTTP server, single-pass HTTP calls, metrics, traces; tables with schema and join, revision store, credits, tickets, routing and streams as pure parts. Conclusion: the base on which the daemon is built.

--- /dev/null
+++ b/src/configuration/vmlist.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "configuration/configurationtypes.h"
+#include "spread/revisionstore.h"
+
+#include <map>
+#include <memory>
+
+namespace beryllever::configuration {
+
+/** Entry of a revision store for a VM, and back. */
+spread::Change
+ChangeFromVm(const Vm& aVm, uint64_t aRevision);
+Vm
+VmFromChange(const spread::Change& aChange);
+
+/** The platform's list of VMs at one revision. Immutable. */
+class VmList
+{
+public:
+  std::shared_ptr<const VmList> With(const std::vector<spread::Change>& aChanges, uint64_t aRevision) const;
+
+  uint64_t Revision() const { return mRevision; }
+  const std::map<std::string, Vm>& Vms() const { return mVms; }
+  /** Whether the list names the VM as leaving. */
+  bool IsLeaving(const std::string& aVm) const;
+
+private:
+  uint64_t mRevision = 0;
+  std::map<std::string, Vm> mVms;
+};
+
+}
--- /dev/null
+++ b/src/credits/endpointcapacity.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "credits/creditstypes.h"
+
+#include <optional>
+
+namespace beryllever::credits {
+
+/** Bounds of an endpoint's capacity, from the table of pools. */
+struct CapacityBounds
+{
+  Slots mCold = 1;
+  Slots mWarm = 1;
+};
+
+/**
+ * Works out how many requests a back end bears now. It starts at the cold bound,
+ * doubles after as many completions as the bound at that time, and falls back to
+ * the cold bound when the back end shows that it has lost its warmth.
+ */
+class EndpointCapacity
+{
+public:
+  EndpointCapacity(const global::IClock& aClock, CapacityBounds aBounds);
+
+  /** Takes new bounds; a lower warm bound is in force at once. */
+  void SetBounds(CapacityBounds aBounds);
+  void TakeReport(const BackEndReport& aReport);
+  /** No report came in time: the back end may have started anew unseen. */
+  void TakeSilence();
+  /** A request has ended well. The time is that of its first answer byte. */
+  void TakeCompletion(std::chrono::microseconds aFirstByte);
+  /** A request has failed in the back end. */
+  void TakeFailure();
+
+  Slots Bears() const { return mIsReady ? mBears : 0; }
+  bool IsCold() const { return mBears < mBounds.mWarm; }
+
+private:
+  void TurnCold();
+  void Halve();
+  bool IsCacheLost(int64_t aEntries) const;
+
+  const global::IClock& mClock;
+  CapacityBounds mBounds;
+  Slots mBears;
+  bool mIsReady = false;
+  int mCompletions = 0;
+  int mSlowCompletions = 0;
+  std::optional<std::string> mIncarnation;
+  int64_t mCacheEntries = -1;
+  std::chrono::microseconds mUsualFirstByte{ 0 };
+  global::TimePoint mNextCut{};
+};
+
+}
--- /dev/null
+++ b/src/credits/internal/creditledger.cpp
@@ -0,0 +1,117 @@
+#include "credits/creditledger.h"
+
+#include <algorithm>
+
+namespace beryllever::credits {
+
+namespace {
+
+constexpr std::chrono::milliseconds kLeaseTime{ 3000 };
+
+}
+
+CreditLedger::CreditLedger(const global::IClock& aClock)
+  : mClock(aClock)
+{
+}
+
+Lease
+CreditLedger::Renew(const std::string& aEntry, const Demand& aDemand)
+{
+  Expire();
+  Holder& holder = mHolders[aEntry];
+  holder.mWanted = aDemand.mWanted;
+  const Slots others = Committed() - CommittedTo(holder);
+  const Slots free = std::max(0, mCapacity - others);
+  const bool isContended = [&] {
+    Slots wanted = 0;
+    for (const auto& [name, other] : mHolders) {
+      wanted += other.mWanted;
+    }
+    return wanted > mCapacity;
+  }();
+  const Slots ceiling = isContended ? std::min(free, FairShare()) : free;
+  holder.mLease.mSlots = std::min(aDemand.mWanted, ceiling);
+  holder.mLease.mDeadline = mClock.Now() + kLeaseTime;
+  return holder.mLease;
+}
+
+Admission
+CreditLedger::Admit(const std::string& aEntry)
+{
+  Expire();
+  if (mRunning >= mCapacity) {
+    return Admission::Full;
+  }
+  Holder& holder = mHolders[aEntry];
+  const bool hasLease = holder.mRunning < holder.mLease.mSlots;
+  if (!hasLease && Committed() >= mCapacity) {
+    return Admission::LeasedToOthers;
+  }
+  ++holder.mRunning;
+  ++mRunning;
+  return Admission::Admitted;
+}
+
+void
+CreditLedger::Release(const std::string& aEntry)
+{
+  const auto it = mHolders.find(aEntry);
+  if (it == mHolders.end() || it->second.mRunning == 0) {
+    return;
+  }
+  --it->second.mRunning;
+  --mRunning;
+  Expire();
+}
+
+void
+CreditLedger::Drop(const std::string& aEntry)
+{
+  if (const auto it = mHolders.find(aEntry); it != mHolders.end()) {
+    it->second.mLease = {};
+    it->second.mWanted = 0;
+    Expire();
+  }
+}
+
+Slots
+CreditLedger::Committed() const
+{
+  Slots sum = 0;
+  for (const auto& [name, holder] : mHolders) {
+    sum += CommittedTo(holder);
+  }
+  return sum;
+}
+
+void
+CreditLedger::Expire()
+{
+  const global::TimePoint now = mClock.Now();
+  for (auto& [name, holder] : mHolders) {
+    if (now >= holder.mLease.mDeadline) {
+      holder.mLease.mSlots = 0;
+      holder.mWanted = 0;
+    }
+  }
+  std::erase_if(mHolders, [&](const auto& entry) {
+    return now >= entry.second.mLease.mDeadline && entry.second.mRunning == 0;
+  });
+}
+
+Slots
+CreditLedger::CommittedTo(const Holder& aHolder) const
+{
+  return std::max(aHolder.mLease.mSlots, aHolder.mRunning);
+}
+
+Slots
+CreditLedger::FairShare() const
+{
+  const auto active = std::count_if(
+    mHolders.begin(), mHolders.end(), [](const auto& entry) { return entry.second.mWanted > 0; });
+  return std::max<Slots>(1, mCapacity / std::max<Slots>(1, static_cast<Slots>(active)));
+}
+
+}
--- /dev/null
+++ b/src/routing/tests/endpointselectortest.cpp
@@ -0,0 +1,74 @@
+#include "routing/endpointselector.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EndpointSelector)
+{
+  global::ManualClock clock;
+  credits::CreditWallet wallet{ clock };
+  configuration::VmList vms;
+  std::shared_ptr<const configuration::Tables> tables = std::make_shared<configuration::Tables>();
+  configuration::Pool pool{ .mName = "p",
+                            .mEndpoints = { { "m1", "a", "1" }, { "m2", "b", "2" }, { "m3", "c", "3" } } };
+
+  void Lease()
+  {
+    for (const auto& endpoint : pool.mEndpoints) {
+      wallet.TakeLease(endpoint.mAddress, { 4, clock.Now() + 3s }, 0, 4);
+    }
+  }
+
+  const configuration::Endpoint* Choose(const routing::Selection& aSelection)
+  {
+    return routing::EndpointSelector(*tables, vms, wallet).Choose(pool, aSelection);
+  }
+};
+
+TEST(EndpointSelector, WithoutCreditNothingIsChosen)
+{
+  POINTERS_EQUAL(nullptr, Choose({ "key", {} }));
+}
+
+TEST(EndpointSelector, AZoneThatIsOutIsNeverChosen)
+{
+  Lease();
+  tables = tables->With({ { "out/zone/a", "true", 2, false } }, 2);
+
+  for (int i = 0; i < 100; ++i) {
+    CHECK(Choose({ std::to_string(i), {} })->mAvailabilityZone != "a");
+  }
+}
+
+TEST(EndpointSelector, ALeavingVmIsNeverChosen)
+{
+  Lease();
+  const configuration::Vm vm{ .mName = "m2", .mState = configuration::VmState::Leaving };
+  vms = *vms.With({ configuration::ChangeFromVm(vm, 2) }, 2);
+
+  for (int i = 0; i < 100; ++i) {
+    CHECK(Choose({ std::to_string(i), {} })->mVm != "m2");
+  }
+}
+
+TEST(EndpointSelector, TheSameKeyGoesToTheSameEndpointUntilItIsAboveTheMean)
+{
+  Lease();
+  const std::string first = Choose({ "key", {} })->mAddress;
+  CHECK_EQUAL(first, Choose({ "key", {} })->mAddress);
+
+  wallet.Use(first);
+  wallet.Use(first);
+
+  CHECK(Choose({ "key", {} })->mAddress != first);
+}
+
+TEST(EndpointSelector, AnEndpointThatRefusedIsNotTriedAgain)
+{
+  Lease();
+
+  CHECK_EQUAL(std::string("3"), Choose({ "key", { "1", "2" } })->mAddress);
+  POINTERS_EQUAL(nullptr, Choose({ "key", { "1", "2", "3" } }));
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,7 @@
+#include <CppUTest/CommandLineTestRunner.h>
+
+int
+main(int aCount, char** aArguments)
+{
+  return CommandLineTestRunner::RunAllTests(aCount, aArguments);
+}
