Add transport, distribution, agent, entry, daemon and command-line tool

Cause: the pure parts have no processes around them yet. Change: gRPC between processes, configuration spread from a few watchers, admission at the agent, tickets, relay with resume, the callers' HTTP interface, operators' pages and the tool's commands.

--- /dev/null
+++ b/src/agent/agentmodule.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "framework/kernel/imodule.h"
+
+#include <QNetworkAccessManager>
+#include <QThread>
+#include <memory>
+
+namespace beryllever::agent {
+
+class AgentCore;
+class AgentService;
+
+/** The process in the slot of an endpoint's VM. */
+class AgentModule : public kernel::IModule
+{
+public:
+  AgentModule();
+  ~AgentModule() override;
+
+  std::string_view Name() const override { return "agent"; }
+  bool IsWanted(std::string_view aRole) const override { return aRole == "agent"; }
+  void RegisterExports(kernel::Kernel&) override {}
+  void Start(kernel::Kernel& aKernel) override;
+  void BeginStop() override;
+  bool IsIdle() const override;
+  void Stop() override;
+
+private:
+  QThread mTraffic;
+  QObject* mTrafficContext = nullptr;
+  QNetworkAccessManager* mManager = nullptr;
+  QObject mControlContext;
+  std::shared_ptr<AgentService> mService;
+  std::unique_ptr<AgentCore> mCore;
+};
+
+}
--- /dev/null
+++ b/src/app/internal/coremodule.cpp
@@ -0,0 +1,92 @@
+#include "configuration/processsettings.h"
+#include "framework/kernel/kernel.h"
+#include "framework/metrics/metrics.h"
+#include "framework/tracing/tracer.h"
+#include "operations/operatorpages.h"
+#include "operations/spanexporter.h"
+#include "transport/grpcserver.h"
+
+#include <QNetworkAccessManager>
+
+namespace beryllever::app {
+
+namespace {
+
+constexpr int kCoreRank = 10;
+constexpr int kListenRank = 90;
+
+/** Offers what all modules use: clock, metrics, traces, operators' pages, the gRPC server. */
+class CoreModule : public kernel::IModule
+{
+public:
+  std::string_view Name() const override { return "core"; }
+  bool IsWanted(std::string_view) const override { return true; }
+
+  void RegisterExports(kernel::Kernel& aKernel) override
+  {
+    const auto settings = aKernel.Get<configuration::IProcessSettings>();
+    const auto clock = std::make_shared<global::SteadyClock>();
+    const auto metrics = std::make_shared<metrics::Metrics>();
+    mTracer = std::make_shared<tracing::Tracer>(settings->VmName());
+    aKernel.Provide<global::IClock>(clock);
+    aKernel.Provide<metrics::Metrics>(metrics);
+    aKernel.Provide<tracing::Tracer>(mTracer);
+    aKernel.Provide<QNetworkAccessManager>(std::make_shared<QNetworkAccessManager>());
+    aKernel.Provide<transport::GrpcServer>(std::make_shared<transport::GrpcServer>());
+    const auto pages = std::make_shared<operations::OperatorPages>(*clock, *metrics);
+    aKernel.Provide<operations::OperatorPages>(pages);
+    aKernel.Provide<operations::IOperatorPages>(pages);
+  }
+
+  void Start(kernel::Kernel& aKernel) override
+  {
+    const auto settings = aKernel.Get<configuration::IProcessSettings>();
+    mExporter = std::make_unique<operations::SpanExporter>(
+      *aKernel.Get<QNetworkAccessManager>(), *mTracer, settings->Collector());
+    aKernel.Get<operations::IOperatorPages>()->AddStatus("process", [settings] {
+      return settings::Json{ { "role", settings->Role() },
+                             { "vm", settings->VmName() },
+                             { "availabilityZone", settings->AvailabilityZone() } };
+    });
+  }
+
+  void Stop() override { mExporter->Flush(); }
+
+private:
+  std::shared_ptr<tracing::Tracer> mTracer;
+  std::unique_ptr<operations::SpanExporter> mExporter;
+};
+
+/** Listens for peers and operators once all modules have added their parts. */
+class ListenModule : public kernel::IModule
+{
+public:
+  std::string_view Name() const override { return "listen"; }
+  bool IsWanted(std::string_view) const override { return true; }
+  void RegisterExports(kernel::Kernel&) override {}
+
+  void Start(kernel::Kernel& aKernel) override
+  {
+    const auto settings = aKernel.Get<configuration::IProcessSettings>();
+    mServer = aKernel.Get<transport::GrpcServer>();
+    if (!mServer->Start(settings->PeerAddress())) {
+      throw std::runtime_error("peerAddress " + settings->PeerAddress() + " cannot be listened on");
+    }
+    const auto address = configuration::ParseAddress(settings->OperatorAddress()).value();
+    if (!aKernel.Get<operations::OperatorPages>()->Listen(address.mHost, address.mPort)) {
+      throw std::runtime_error("operatorAddress " + settings->OperatorAddress() + " cannot be listened on");
+    }
+  }
+
+  void Stop() override { mServer->Stop(); }
+
+private:
+  std::shared_ptr<transport::GrpcServer> mServer;
+};
+
+const kernel::ModuleRegistrar kCoreRegistrar(kCoreRank, [] { return std::make_unique<CoreModule>(); });
+const kernel::ModuleRegistrar kListenRegistrar(kListenRank, [] { return std::make_unique<ListenModule>(); });
+
+}
+
+}
--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -89,6 +89,8 @@
   std::string mCallerAddress;
   /** Address for the system's own processes. */
   std::string mPeerAddress;
+  /** Address for operators. */
+  std::string mOperatorAddress;
   VmState mState = VmState::Live;
 };
 
--- a/src/configuration/internal/vmlist.cpp
+++ b/src/configuration/internal/vmlist.cpp
@@ -14,6 +14,7 @@
                    { "role", aVm.mRole },
                    { "callerAddress", aVm.mCallerAddress },
                    { "peerAddress", aVm.mPeerAddress },
+                   { "operatorAddress", aVm.mOperatorAddress },
                    { "state", aVm.mState == VmState::Leaving ? "leaving" : "live" } };
   return { aVm.mName, json.dump(), aRevision, false };
 }
@@ -27,6 +28,7 @@
            .mRole = json["role"],
            .mCallerAddress = json["callerAddress"],
            .mPeerAddress = json["peerAddress"],
+           .mOperatorAddress = json["operatorAddress"],
            .mState = json["state"] == "leaving" ? VmState::Leaving : VmState::Live };
 }
 
--- a/src/credits/internal/creditwallet.cpp
+++ b/src/credits/internal/creditwallet.cpp
@@ -72,7 +72,13 @@
 CreditWallet::Return(const std::string& aEndpoint)
 {
   WalletState& state = mStates[aEndpoint];
-  state.mInUse = std::max(0, state.mInUse - 1);
+  if (state.mInUse == 0) {
+    return;
+  }
+  if (state.mInUse > state.mLease.mSlots) {
+    ++state.mUnleased;
+  }
+  --state.mInUse;
 }
 
 void
--- /dev/null
+++ b/src/distribution/internal/followclient.cpp
@@ -0,0 +1,122 @@
+#include "distribution/followclient.h"
+
+#include "framework/log/log.h"
+#include "transport/channel.h"
+
+#include <QCoreApplication>
+
+namespace beryllever::distribution {
+
+namespace {
+
+constexpr char kLogTag[] = "distribution";
+constexpr std::chrono::milliseconds kTick{ 500 };
+constexpr std::chrono::milliseconds kSilenceTime{ 3000 };
+constexpr std::chrono::hours kCallTime{ 24 };
+
+}
+
+FollowClient::FollowClient(const global::IClock& aClock,
+                           std::string aAddress,
+                           MakeRequest aMakeRequest,
+                           OnUpdate aOnUpdate)
+  : mClock(aClock)
+  , mAddress(std::move(aAddress))
+  , mMakeRequest(std::move(aMakeRequest))
+  , mOnUpdate(std::move(aOnUpdate))
+{
+  QObject::connect(&mTimer, &QTimer::timeout, &mContext, [this] { Tick(); });
+  mTimer.start(kTick);
+  Open();
+}
+
+FollowClient::~FollowClient()
+{
+  Close();
+}
+
+bool
+FollowClient::IsAlive() const
+{
+  return mCall && mClock.Now() < mSilenceDeadline;
+}
+
+void
+FollowClient::Restart()
+{
+  Close();
+  Open();
+}
+
+void
+FollowClient::Open()
+{
+  const uint64_t attempt = ++mAttempt;
+  mSilenceDeadline = mClock.Now() + kSilenceTime;
+  mStub = v1::Peer::NewStub(transport::MakeChannel(mAddress));
+  const std::weak_ptr<bool> alive = mAlive;
+  mCall = Call::Start(
+    QCoreApplication::instance(),
+    mMakeRequest(),
+    std::chrono::system_clock::now() + kCallTime,
+    [this](grpc::ClientContext* aContext, const v1::FollowRequest* aRequest, auto* aReactor) {
+      mStub->async()->Follow(aContext, aRequest, aReactor);
+    },
+    [this, alive, attempt](const v1::FollowUpdate& aUpdate) {
+      if (!alive.expired()) {
+        HandleUpdate(attempt, aUpdate);
+      }
+    },
+    [this, alive, attempt](const grpc::Status&) {
+      if (!alive.expired()) {
+        HandleEnd(attempt);
+      }
+    });
+  mCall->Read();
+}
+
+void
+FollowClient::Close()
+{
+  ++mAttempt;
+  if (mCall) {
+    mCall->Cancel();
+    mCall.reset();
+  }
+}
+
+void
+FollowClient::Tick()
+{
+  if (mClock.Now() < mSilenceDeadline) {
+    return;
+  }
+  if (mCall) {
+    LOGW("A followed peer is silent; its connection is replaced. peer=" << mAddress);
+  }
+  Restart();
+}
+
+void
+FollowClient::HandleUpdate(uint64_t aAttempt, const v1::FollowUpdate& aUpdate)
+{
+  if (aAttempt != mAttempt) {
+    return;
+  }
+  mSilenceDeadline = mClock.Now() + kSilenceTime;
+  mCall->Read();
+  mOnUpdate(aUpdate);
+}
+
+void
+FollowClient::HandleEnd(uint64_t aAttempt)
+{
+  if (aAttempt != mAttempt) {
+    return;
+  }
+  // The next tick after a pause opens a new call.
+  mCall.reset();
+  mSilenceDeadline = mClock.Now() + kTick;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/router.cpp
@@ -0,0 +1,293 @@
+#include "entry/internal/router.h"
+
+#include "framework/log/log.h"
+#include "routing/endpointselector.h"
+#include "spread/sourceselection.h"
+
+#include <algorithm>
+
+namespace beryllever::entry {
+
+using global::Error;
+using global::ErrorKind;
+
+namespace {
+
+constexpr char kLogTag[] = "router";
+constexpr std::chrono::milliseconds kTick{ 100 };
+/** A gap between ticks above this means that the process was paused. */
+constexpr std::chrono::milliseconds kPauseThreshold{ 2000 };
+constexpr std::chrono::milliseconds kMaxQueueTime{ 10000 };
+constexpr std::chrono::milliseconds kAvoidAfterRefusal{ 50 };
+constexpr std::chrono::milliseconds kAvoidAfterFailure{ 500 };
+/** Endpoints of one pool that one entry works with. */
+constexpr size_t kMaxLinksPerPool = 64;
+constexpr std::chrono::milliseconds kMinRenewInterval{ 1000 };
+
+}
+
+Router::Router(const global::IClock& aClock,
+               std::shared_ptr<configuration::IProcessSettings> aSettings,
+               std::shared_ptr<configuration::IConfiguration> aConfiguration,
+               metrics::Metrics& aMetrics)
+  : mClock(aClock)
+  , mSettings(std::move(aSettings))
+  , mConfiguration(std::move(aConfiguration))
+  , mMetrics(aMetrics)
+  , mWallet(aClock)
+  , mLastTick(aClock.Now())
+{
+}
+
+void
+Router::Start()
+{
+  mConfiguration->Subscribe([this] {
+    UpdateLinks();
+    Pump();
+  });
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
+  mTimer.start(kTick);
+  UpdateLinks();
+}
+
+void
+Router::Acquire(PlacementRequest aRequest, QObject* aContext, std::function<void(Decision)> aOnDecision)
+{
+  transport::Post(&mContext,
+                  [this, pending = Pending{ std::move(aRequest), aContext, std::move(aOnDecision) }] { Decide(pending); });
+}
+
+void
+Router::Return(const std::string& aAddress, PlacementEnd aEnd)
+{
+  transport::Post(&mContext, [this, aAddress, aEnd] { Release(aAddress, aEnd); });
+}
+
+void
+Router::Decide(Pending aPending)
+{
+  if (!aPending.mRequest.mFixedEndpoint.empty()) {
+    DecideFixed(std::move(aPending));
+    return;
+  }
+  if (!aPending.mRequest.mIsRetry) {
+    mRetryBudget.TakeRequest();
+  } else if (!mRetryBudget.TrySpend()) {
+    mMetrics.Count("beryllever_retries_denied_total");
+    Refuse(aPending, ErrorKind::Overloaded, "the retry budget is spent");
+    return;
+  }
+  // A request must not overtake those that wait.
+  const auto it = mQueues.find(aPending.mRequest.mPool);
+  const bool isQueueEmpty = it == mQueues.end() || it->second.mQueue.Size() == 0;
+  if (isQueueEmpty && TryPlace(aPending)) {
+    return;
+  }
+  Enqueue(std::move(aPending));
+}
+
+void
+Router::DecideFixed(Pending aPending)
+{
+  const std::string& address = aPending.mRequest.mFixedEndpoint;
+  if (!mKnownAddresses.contains(address)) {
+    Refuse(aPending, ErrorKind::OutcomeUnknown, "the endpoint is not in the tables");
+    return;
+  }
+  Place(aPending, address);
+}
+
+bool
+Router::TryPlace(const Pending& aPending)
+{
+  const auto tables = mConfiguration->CurrentTables();
+  const auto vms = mConfiguration->CurrentVms();
+  const auto pool = tables->FindPool(aPending.mRequest.mPool);
+  if (!pool) {
+    return false;
+  }
+  const routing::EndpointSelector selector(*tables, *vms, mWallet);
+  const auto* endpoint = selector.Choose(*pool, { aPending.mRequest.mAffinityKey, aPending.mRequest.mTried });
+  if (!endpoint) {
+    return false;
+  }
+  Place(aPending, endpoint->mAddress);
+  return true;
+}
+
+void
+Router::Place(const Pending& aPending, const std::string& aAddress)
+{
+  mWallet.Use(aAddress);
+  Decision decision = Placement{ aAddress, LinkFor(aAddress).Stub() };
+  transport::Post(aPending.mContext, [onDecision = aPending.mOnDecision, decision = std::move(decision)] {
+    onDecision(decision);
+  });
+  UpdateDemand();
+}
+
+void
+Router::Enqueue(Pending aPending)
+{
+  auto [it, isNew] =
+    mQueues.try_emplace(aPending.mRequest.mPool, static_cast<size_t>(mSettings->Limits().mQueuedRequests));
+  PoolQueue& queue = it->second;
+  const uint64_t id = ++mNextId;
+  const PlacementRequest& request = aPending.mRequest;
+  routing::Waiter waiter{ id,
+                          request.mWorkspace,
+                          request.mPriority,
+                          request.mWeight,
+                          std::min(request.mDeadline, mClock.Now() + kMaxQueueTime) };
+  // An endpoint that refused may serve the request later.
+  aPending.mRequest.mTried.clear();
+  queue.mPending.emplace(id, std::move(aPending));
+  if (const auto shed = queue.mQueue.Push(std::move(waiter))) {
+    const auto node = queue.mPending.extract(shed->mId);
+    mMetrics.Count("beryllever_requests_shed_total", { { "priority", std::to_string(shed->mPriority) } });
+    Refuse(node.mapped(), ErrorKind::Overloaded, "too many requests wait");
+  }
+  UpdateDemand();
+}
+
+void
+Router::Refuse(const Pending& aPending, ErrorKind aKind, const std::string& aMessage)
+{
+  transport::Post(aPending.mContext, [onDecision = aPending.mOnDecision, error = Error{ aKind, aMessage }] {
+    onDecision(error);
+  });
+}
+
+void
+Router::Release(const std::string& aAddress, PlacementEnd aEnd)
+{
+  mWallet.Return(aAddress);
+  if (aEnd == PlacementEnd::Refused) {
+    mWallet.Avoid(aAddress, kAvoidAfterRefusal);
+  } else if (aEnd == PlacementEnd::Failed) {
+    mWallet.Avoid(aAddress, kAvoidAfterFailure);
+  }
+  Pump();
+}
+
+void
+Router::Pump()
+{
+  for (auto& [pool, queue] : mQueues) {
+    PumpPool(pool, queue);
+  }
+  UpdateDemand();
+}
+
+void
+Router::PumpPool(const std::string& aPool, PoolQueue& aQueue)
+{
+  DropExpired(aQueue);
+  while (const routing::Waiter* front = aQueue.mQueue.Front()) {
+    const auto it = aQueue.mPending.find(front->mId);
+    if (!TryPlace(it->second)) {
+      break;
+    }
+    aQueue.mPending.erase(it);
+    aQueue.mQueue.Pop();
+  }
+  mMetrics.Set("beryllever_waiting_requests", static_cast<double>(aQueue.mQueue.Size()), { { "pool", aPool } });
+}
+
+void
+Router::DropExpired(PoolQueue& aQueue)
+{
+  for (const routing::Waiter& waiter : aQueue.mQueue.TakeExpired(mClock.Now())) {
+    const auto node = aQueue.mPending.extract(waiter.mId);
+    Refuse(node.mapped(), ErrorKind::Overloaded, "no endpoint was free in time");
+  }
+}
+
+void
+Router::UpdateDemand()
+{
+  const auto tables = mConfiguration->CurrentTables();
+  for (const auto& [name, pool] : tables->Pools()) {
+    const auto queue = mQueues.find(name);
+    const auto waiting = queue == mQueues.end() ? 0 : static_cast<int>(queue->second.mQueue.Size());
+    const int endpoints = std::max<int>(1, static_cast<int>(pool->mEndpoints.size()));
+    const int waitingEach = (waiting + endpoints - 1) / endpoints;
+    for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
+      const auto link = mLinks.find(endpoint.mAddress);
+      if (link == mLinks.end()) {
+        continue;
+      }
+      const auto state = mWallet.States().find(endpoint.mAddress);
+      const int inUse = state == mWallet.States().end() ? 0 : state->second.mInUse;
+      const int spare = inUse > 0 ? 1 : 0;
+      link->second->SetDemand({ inUse, inUse + waitingEach + spare });
+    }
+  }
+}
+
+void
+Router::UpdateLinks()
+{
+  const std::set<std::string> wanted = WantedLinks();
+  mKnownAddresses.insert(wanted.begin(), wanted.end());
+  std::erase_if(mLinks, [&](const auto& link) { return !wanted.contains(link.first); });
+  for (const std::string& address : wanted) {
+    LinkFor(address);
+  }
+}
+
+std::set<std::string>
+Router::WantedLinks() const
+{
+  std::set<std::string> wanted;
+  const auto tables = mConfiguration->CurrentTables();
+  for (const auto& [name, pool] : tables->Pools()) {
+    std::vector<spread::Candidate> candidates;
+    for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
+      candidates.push_back({ endpoint.mVm, endpoint.mAvailabilityZone, endpoint.mAddress });
+    }
+    for (const auto& chosen : spread::SelectSources(mSettings->VmName(), candidates, kMaxLinksPerPool)) {
+      wanted.insert(chosen.mAddress);
+    }
+  }
+  return wanted;
+}
+
+AgentLink&
+Router::LinkFor(const std::string& aAddress)
+{
+  auto& link = mLinks[aAddress];
+  if (!link) {
+    link = std::make_unique<AgentLink>(
+      mClock,
+      mSettings->VmName(),
+      aAddress,
+      kMinRenewInterval,
+      [this, aAddress](const v1::AgentState& aState, global::TimePoint aDeadline) {
+        mWallet.TakeLease(aAddress, { aState.slots(), aDeadline }, aState.unleased(), aState.bears());
+        Pump();
+      },
+      [this, aAddress] { mWallet.Forget(aAddress); });
+  }
+  return *link;
+}
+
+void
+Router::Tick()
+{
+  const global::TimePoint now = mClock.Now();
+  const bool wasPaused = now - mLastTick > kPauseThreshold;
+  mLastTick = now;
+  if (wasPaused) {
+    // What was known before a pause may be false now, whatever its deadlines say.
+    LOGW("The process was paused; all leases are dropped.");
+    mWallet.ForgetAll();
+  }
+  for (auto& [address, link] : mLinks) {
+    link->Tick();
+  }
+  Pump();
+}
+
+}
--- a/src/framework/global/internal/errors.cpp
+++ b/src/framework/global/internal/errors.cpp
@@ -18,7 +18,7 @@
   { ErrorKind::OutcomeUnknown, "outcome_unknown", 504, Execution::Unknown, false },
   { ErrorKind::Overloaded, "overloaded", 429, Execution::NotRun, true },
   { ErrorKind::OutOfService, "out_of_service", 307, Execution::NotRun, true },
-  { ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, Execution::NotRun, true },
+  { ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, Execution::Unknown, true },
   { ErrorKind::EndpointFailed, "endpoint_failed", 502, Execution::Unknown, false },
   { ErrorKind::StreamLost, "stream_lost", 502, Execution::Ran, true },
   { ErrorKind::NotReady, "not_ready", 503, Execution::NotRun, true },
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -5,6 +5,7 @@
 #include "framework/net/nettypes.h"
 
 #include <QAbstractHttpServer>
+#include <atomic>
 #include <functional>
 
 namespace beryllever::net {
@@ -34,7 +35,7 @@
   const global::IClock& mClock;
   Handler mHandler;
   QTcpServer* mServer = nullptr;
-  int mOpenExchanges = 0;
+  std::atomic<int> mOpenExchanges = 0;
 };
 
 }
--- a/src/framework/net/tests/httpservertest.cpp
+++ b/src/framework/net/tests/httpservertest.cpp
@@ -9,16 +9,6 @@
 
 namespace {
 
-QCoreApplication*
-Application()
-{
-  static int sCount = 1;
-  static char sName[] = "test";
-  static char* sArguments[] = { sName, nullptr };
-  static QCoreApplication sApplication(sCount, sArguments);
-  return &sApplication;
-}
-
 /** Sends bytes and returns all that comes back until the connection closes or the text is seen. */
 QByteArray
 Converse(quint16 aPort, const QByteArray& aBytes, const QByteArray& aUntil)
@@ -28,7 +18,7 @@
   QByteArray answer;
   bool isSent = false;
   while (!answer.contains(aUntil)) {
-    Application()->processEvents(QEventLoop::AllEvents, 50);
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 50);
     if (!isSent && socket.state() == QAbstractSocket::ConnectedState) {
       socket.write(aBytes);
       isSent = true;
@@ -51,7 +41,6 @@
 
   std::unique_ptr<net::HttpServer> Serve()
   {
-    Application();
     auto server = std::make_unique<net::HttpServer>(limits, clock, [this](net::HttpExchange* aExchange) {
       ++handled;
       aExchange->Reply(200, {}, "got " + QByteArray::number(aExchange->Request().mBody.size()));
@@ -109,7 +98,7 @@
   first.connectToHost(QHostAddress::LocalHost, server->Port());
   second.connectToHost(QHostAddress::LocalHost, server->Port());
   while (first.state() != QAbstractSocket::ConnectedState || second.state() != QAbstractSocket::ConnectedState) {
-    Application()->processEvents(QEventLoop::AllEvents, 50);
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 50);
   }
 
   const auto answer = Converse(server->Port(), "GET / HTTP/1.1\r\n\r\n", "too_many_connections");
--- /dev/null
+++ b/src/operations/internal/spanexporter.cpp
@@ -0,0 +1,39 @@
+#include "operations/spanexporter.h"
+
+#include "framework/net/httpcall.h"
+
+namespace beryllever::operations {
+
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{ 300 };
+constexpr std::chrono::milliseconds kTimeout{ 2000 };
+
+}
+
+SpanExporter::SpanExporter(QNetworkAccessManager& aManager, tracing::Tracer& aTracer, const std::string& aCollector)
+  : mManager(aManager)
+  , mTracer(aTracer)
+  , mCollector(QString::fromStdString(aCollector))
+{
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Flush(); });
+  mTimer.start(kInterval);
+}
+
+void
+SpanExporter::Flush()
+{
+  const std::string spans = mTracer.TakeOtlp();
+  if (spans.empty() || mCollector.isEmpty()) {
+    return;
+  }
+  net::Fetch(mManager,
+             { .mMethod = "POST",
+               .mUrl = QUrl(mCollector + "/v1/traces"),
+               .mHeaders = { { "Content-Type", "application/json" } },
+               .mBody = QByteArray::fromStdString(spans) },
+             kTimeout,
+             [](const net::HttpOutcome&, const net::HttpAnswer&) {});
+}
+
+}
--- /dev/null
+++ b/src/streams/tests/eventframertest.cpp
@@ -0,0 +1,18 @@
+#include "streams/eventframer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using beryllever::streams::EventFramer;
+
+TEST_GROUP(EventFramer){};
+
+TEST(EventFramer, EachEventNamesTheOffsetBehindIt)
+{
+  EventFramer framer(0, [](uint64_t aOffset) { return std::to_string(aOffset); });
+
+  std::string text = framer.Take("data: a\n");
+  text += framer.Take("\ndata: b\n\nda");
+
+  CHECK_EQUAL(std::string("id: 9\ndata: a\n\nid: 18\ndata: b\n\n"), text);
+  CHECK_EQUAL(2u, framer.HeldBytes());
+}
--- /dev/null
+++ b/src/transport/internal/grpcserver.cpp
@@ -0,0 +1,55 @@
+#include "transport/grpcserver.h"
+
+namespace beryllever::transport {
+
+namespace {
+
+constexpr int kStreamWindowBytes = 64 * 1024;
+constexpr int kMinPingIntervalMilliseconds = 1000;
+constexpr int kKeepaliveMilliseconds = 5000;
+constexpr int kKeepaliveTimeoutMilliseconds = 2000;
+constexpr std::chrono::milliseconds kStopTime{ 200 };
+
+}
+
+GrpcServer::~GrpcServer()
+{
+  Stop();
+}
+
+void
+GrpcServer::Add(std::shared_ptr<grpc::Service> aService)
+{
+  mServices.push_back(std::move(aService));
+}
+
+bool
+GrpcServer::Start(const std::string& aAddress)
+{
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kStreamWindowBytes);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingIntervalMilliseconds);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMilliseconds);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMilliseconds);
+  for (const auto& service : mServices) {
+    builder.RegisterService(service.get());
+  }
+  mServer = builder.BuildAndStart();
+  return mServer && port != 0;
+}
+
+void
+GrpcServer::Stop()
+{
+  if (mServer) {
+    mServer->Shutdown(std::chrono::system_clock::now() + kStopTime);
+    mServer.reset();
+  }
+}
+
+}
