--- a/src/agent/agentmodule.cpp
+++ b/src/agent/agentmodule.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 constexpr int kRank = 30;
-const kernel::ModuleRegistrar kRegistrar(kRank, [] { return std::make_unique<AgentModule>(); });
+const kernel::ModuleRegistrar kRegistrar(kRank, [] {
+  return std::make_unique<AgentModule>();
+});
 
 }
 
@@ -29,17 +31,19 @@
   mTrafficContext->moveToThread(&mTraffic);
   mManager->moveToThread(&mTraffic);
   mTraffic.start();
-  mCore = std::make_unique<AgentCore>(*clock,
-                                      settings,
-                                      aKernel.Get<configuration::IConfiguration>(),
-                                      *aKernel.Get<metrics::Metrics>(),
-                                      ExecutionContext{ *clock,
-                                                        *mManager,
-                                                        mTrafficContext,
-                                                        *aKernel.Get<tracing::Tracer>(),
-                                                        settings->BackEnd(),
-                                                        settings->Limits() });
-  mService = std::make_shared<AgentService>(&mControlContext, mTrafficContext, *mCore);
+  mCore = std::make_unique<AgentCore>(
+    *clock,
+    settings,
+    aKernel.Get<configuration::IConfiguration>(),
+    *aKernel.Get<metrics::Metrics>(),
+    ExecutionContext{ *clock,
+                      *mManager,
+                      mTrafficContext,
+                      *aKernel.Get<tracing::Tracer>(),
+                      settings->BackEnd(),
+                      settings->Limits() });
+  mService =
+    std::make_shared<AgentService>(&mControlContext, mTrafficContext, *mCore);
   aKernel.Get<transport::GrpcServer>()->Add(mService);
   pages->AddStatus("agent", [this] { return mCore->Status(); });
   mCore->Start();
--- a/src/agent/agentmodule.h
+++ b/src/agent/agentmodule.h
@@ -19,7 +19,10 @@
   ~AgentModule() override;
 
   std::string_view Name() const override { return "agent"; }
-  bool IsWanted(std::string_view aRole) const override { return aRole == "agent"; }
+  bool IsWanted(std::string_view aRole) const override
+  {
+    return aRole == "agent";
+  }
   void RegisterExports(kernel::Kernel&) override {}
   void Start(kernel::Kernel& aKernel) override;
   void BeginStop() override;
--- a/src/agent/internal/agentcore.cpp
+++ b/src/agent/internal/agentcore.cpp
@@ -16,21 +16,24 @@
 constexpr char kLogTag[] = "agent";
 constexpr size_t kTicketBytes = 16 * 1024 * 1024;
 
-/** Grows with each start of an agent at the same address, as far as the VM's wall clock does. */
+/** Grows with each start of an agent at the same address, as far as the VM's
+ * wall clock does. */
 uint64_t
 NewIncarnation()
 {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
 }
 
-AgentCore::AgentCore(const global::IClock& aClock,
-                     std::shared_ptr<configuration::IProcessSettings> aSettings,
-                     std::shared_ptr<configuration::IConfiguration> aConfiguration,
-                     metrics::Metrics& aMetrics,
-                     ExecutionContext aExecutionContext)
+AgentCore::AgentCore(
+  const global::IClock& aClock,
+  std::shared_ptr<configuration::IProcessSettings> aSettings,
+  std::shared_ptr<configuration::IConfiguration> aConfiguration,
+  metrics::Metrics& aMetrics,
+  ExecutionContext aExecutionContext)
   : mClock(aClock)
   , mSettings(std::move(aSettings))
   , mConfiguration(std::move(aConfiguration))
@@ -49,7 +52,9 @@
   mConfiguration->Subscribe([this] { TakeConfiguration(); });
   TakeConfiguration();
   mMonitor = std::make_unique<BackEndMonitor>(
-    mClock, mManager, mSettings->BackEnd(), [this](const auto& aReport) { TakeReport(aReport); });
+    mClock, mManager, mSettings->BackEnd(), [this](const auto& aReport) {
+      TakeReport(aReport);
+    });
 }
 
 void
@@ -62,28 +67,30 @@
 settings::Json
 AgentCore::Status() const
 {
-  return { { "incarnation", mIncarnation },
-           { "bears", mCapacity.Bears() },
-           { "isCold", mCapacity.IsCold() },
-           { "running", mLedger.Running() },
-           { "committed", mLedger.Committed() },
-           { "executions", mExecutions },
-           { "takesNewWork", TakesNewWork() },
-           { "entries", mStreams.size() },
-           { "ticketBytes", mTickets.HeldBytes() } };
+  return {
+    { "incarnation", mIncarnation },        { "bears", mCapacity.Bears() },
+    { "isCold", mCapacity.IsCold() },       { "running", mLedger.Running() },
+    { "committed", mLedger.Committed() },   { "executions", mExecutions },
+    { "takesNewWork", TakesNewWork() },     { "entries", mStreams.size() },
+    { "ticketBytes", mTickets.HeldBytes() }
+  };
 }
 
 void
-AgentCore::TakeDemand(const std::shared_ptr<ControlStream>& aStream, const v1::EntryDemand& aDemand)
+AgentCore::TakeDemand(const std::shared_ptr<ControlStream>& aStream,
+                      const v1::EntryDemand& aDemand)
 {
   if (aStream->mEntry.empty()) {
     aStream->mEntry = aDemand.vm();
     mStreams.push_back(aStream);
   }
   aStream->mRenewMilliseconds = aDemand.renew_ms();
-  const auto lease = mLedger.Renew(aStream->mEntry, { aDemand.in_use(), aDemand.wanted() });
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(lease.mDeadline - mClock.Now());
-  aStream->mLastSent = StateFor(lease.mSlots, static_cast<uint32_t>(left.count()));
+  const auto lease =
+    mLedger.Renew(aStream->mEntry, { aDemand.in_use(), aDemand.wanted() });
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    lease.mDeadline - mClock.Now());
+  aStream->mLastSent =
+    StateFor(lease.mSlots, static_cast<uint32_t>(left.count()));
   aStream->Send(aStream->mLastSent);
 }
 
@@ -91,8 +98,10 @@
 AgentCore::TakeClosed(const std::shared_ptr<ControlStream>& aStream)
 {
   std::erase(mStreams, aStream);
-  const bool hasOther = std::any_of(
-    mStreams.begin(), mStreams.end(), [&](const auto& stream) { return stream->mEntry == aStream->mEntry; });
+  const bool hasOther =
+    std::any_of(mStreams.begin(), mStreams.end(), [&](const auto& stream) {
+      return stream->mEntry == aStream->mEntry;
+    });
   if (!hasOther) {
     mLedger.Drop(aStream->mEntry);
     SendStates();
@@ -126,7 +135,8 @@
     ExecuteTicketed(aRequest, aStream, aDeadline);
     return;
   }
-  // A resumed answer is a request in flight, which runs to its end even out of service.
+  // A resumed answer is a request in flight, which runs to its end even out of
+  // service.
   const bool isInFlight = aRequest.resume_offset() > 0;
   if (!TakesNewWork() && !isInFlight) {
     Refuse(aStream, ErrorKind::NotRun, "the endpoint takes no new work");
@@ -166,7 +176,8 @@
   if (before > 0 && mCapacity.Bears() == 0) {
     LOGW("The back end is silent or not ready; it gets no requests.");
   } else if (!wasCold && mCapacity.IsCold()) {
-    LOGW("The back end has turned cold; it gets few requests. bears=" << mCapacity.Bears());
+    LOGW("The back end has turned cold; it gets few requests. bears="
+         << mCapacity.Bears());
   }
   UpdateCapacity();
 }
@@ -187,10 +198,15 @@
 AgentCore::SendStates()
 {
   for (const auto& stream : mStreams) {
-    // A lease that was given stays as it is until its renewal; the gate here holds in any case.
-    v1::AgentState state = StateFor(std::min(stream->mLastSent.slots(), mLedger.Capacity()), stream->mLastSent.lease_ms());
-    const bool isNews = state.bears() != stream->mLastSent.bears() || state.slots() != stream->mLastSent.slots() ||
-                        (state.unleased() > 0) != (stream->mLastSent.unleased() > 0);
+    // A lease that was given stays as it is until its renewal; the gate here
+    // holds in any case.
+    v1::AgentState state =
+      StateFor(std::min(stream->mLastSent.slots(), mLedger.Capacity()),
+               stream->mLastSent.lease_ms());
+    const bool isNews =
+      state.bears() != stream->mLastSent.bears() ||
+      state.slots() != stream->mLastSent.slots() ||
+      (state.unleased() > 0) != (stream->mLastSent.unleased() > 0);
     if (isNews) {
       stream->mLastSent = state;
       stream->Send(state);
@@ -213,7 +229,8 @@
 bool
 AgentCore::TakesNewWork() const
 {
-  return !mIsStopping && mIsInPool && mConfiguration->IsKnown() && !mConfiguration->IsSelfOut();
+  return !mIsStopping && mIsInPool && mConfiguration->IsKnown() &&
+         !mConfiguration->IsSelfOut();
 }
 
 void
@@ -247,16 +264,20 @@
 }
 
 bool
-AgentCore::Admit(const v1::ExecuteRequest& aRequest, const std::shared_ptr<ExecuteStream>& aStream)
+AgentCore::Admit(const v1::ExecuteRequest& aRequest,
+                 const std::shared_ptr<ExecuteStream>& aStream)
 {
   const Admission admission = mLedger.Admit(aRequest.entry());
   if (admission == Admission::Admitted) {
     SendStates();
     return true;
   }
-  mMetrics.Count("beryllever_admissions_refused_total",
-                 { { "reason", admission == Admission::Full ? "full" : "leased" } });
-  Refuse(aStream, ErrorKind::Overloaded, "the endpoint bears no further request now");
+  mMetrics.Count(
+    "beryllever_admissions_refused_total",
+    { { "reason", admission == Admission::Full ? "full" : "leased" } });
+  Refuse(aStream,
+         ErrorKind::Overloaded,
+         "the endpoint bears no further request now");
   return false;
 }
 
@@ -266,9 +287,10 @@
                std::chrono::system_clock::time_point aDeadline)
 {
   ++mExecutions;
-  const auto execution =
-    std::make_shared<Execution>(mExecutionContext, aRequest, aStream, aDeadline, EventsFor(aRequest));
-  transport::Post(mExecutionContext.mThreadContext, [execution] { execution->Start(); });
+  const auto execution = std::make_shared<Execution>(
+    mExecutionContext, aRequest, aStream, aDeadline, EventsFor(aRequest));
+  transport::Post(mExecutionContext.mThreadContext,
+                  [execution] { execution->Start(); });
 }
 
 ExecutionEvents
@@ -278,8 +300,9 @@
   const auto holdsSlot = std::make_shared<bool>(true);
   return { .mOnEnd =
              [this, aRequest, holdsSlot](const ExecutionResult& aResult) {
-               transport::Post(&mContext,
-                               [=, this] { HandleEnd(aRequest, *holdsSlot, aResult); });
+               transport::Post(&mContext, [=, this] {
+                 HandleEnd(aRequest, *holdsSlot, aResult);
+               });
              },
            .mOnPause =
              [this, entry = aRequest.entry(), holdsSlot] {
@@ -290,24 +313,30 @@
                });
              },
            .mOnResume =
-             [this, entry = aRequest.entry(), holdsSlot](std::function<void(bool)> aOnDecision) {
+             [this, entry = aRequest.entry(), holdsSlot](
+               std::function<void(bool)> aOnDecision) {
                transport::Post(&mContext, [=, this] {
                  *holdsSlot = mLedger.Admit(entry) == Admission::Admitted;
                  transport::Post(mExecutionContext.mThreadContext,
-                                 [aOnDecision, isAdmitted = *holdsSlot] { aOnDecision(isAdmitted); });
+                                 [aOnDecision, isAdmitted = *holdsSlot] {
+                                   aOnDecision(isAdmitted);
+                                 });
                });
              } };
 }
 
 void
-AgentCore::HandleEnd(const v1::ExecuteRequest& aRequest, bool aHoldsSlot, const ExecutionResult& aResult)
+AgentCore::HandleEnd(const v1::ExecuteRequest& aRequest,
+                     bool aHoldsSlot,
+                     const ExecutionResult& aResult)
 {
   --mExecutions;
   if (aHoldsSlot) {
     Release(aRequest.entry());
   }
   const std::string verdict = aResult.mIsComplete ? "complete" : "incomplete";
-  mMetrics.Count("beryllever_executions_total", { { "kind", aRequest.kind() }, { "end", verdict } });
+  mMetrics.Count("beryllever_executions_total",
+                 { { "kind", aRequest.kind() }, { "end", verdict } });
   if (aResult.mFirstByte.count() > 0) {
     mMetrics.Sample("beryllever_back_end_first_byte_seconds",
                     std::chrono::duration<double>(aResult.mFirstByte).count());
@@ -325,15 +354,16 @@
 }
 
 void
-AgentCore::RecordTicket(const tickets::Ticket& aTicket, const ExecutionResult& aResult)
+AgentCore::RecordTicket(const tickets::Ticket& aTicket,
+                        const ExecutionResult& aResult)
 {
   if (aResult.mIsComplete) {
     mTickets.Complete(aTicket, aResult.mHttpStatus, aResult.mBody);
   } else if (!aResult.mIsSent) {
     mTickets.Cancel(aTicket);
   } else {
-    LOGW("The outcome of a non-idempotent request is unknown. ticket=" << aTicket.mNumber
-                                                                      << " reason=" << aResult.mReason);
+    LOGW("The outcome of a non-idempotent request is unknown. ticket="
+         << aTicket.mNumber << " reason=" << aResult.mReason);
     mTickets.Lose(aTicket);
   }
   AnswerWaiting(aTicket);
@@ -360,7 +390,8 @@
 }
 
 void
-AgentCore::AnswerOutcome(const tickets::Outcome& aOutcome, const std::shared_ptr<ExecuteStream>& aStream)
+AgentCore::AnswerOutcome(const tickets::Outcome& aOutcome,
+                         const std::shared_ptr<ExecuteStream>& aStream)
 {
   switch (aOutcome.mState) {
     case TicketState::Done: {
@@ -378,21 +409,29 @@
       return;
     }
     case TicketState::Void:
-      Refuse(aStream, ErrorKind::NotRun, "the ticket is void; the request has not run and never will");
+      Refuse(aStream,
+             ErrorKind::NotRun,
+             "the ticket is void; the request has not run and never will");
       return;
     case TicketState::Foreign:
-      Refuse(aStream, ErrorKind::UnknownTicket, "the ticket was not issued here");
+      Refuse(
+        aStream, ErrorKind::UnknownTicket, "the ticket was not issued here");
       return;
     default:
-      Refuse(aStream, ErrorKind::OutcomeUnknown, "it is not known whether the request has run");
+      Refuse(aStream,
+             ErrorKind::OutcomeUnknown,
+             "it is not known whether the request has run");
   }
 }
 
 void
-AgentCore::Refuse(const std::shared_ptr<ExecuteStream>& aStream, ErrorKind aKind, const std::string& aMessage)
+AgentCore::Refuse(const std::shared_ptr<ExecuteStream>& aStream,
+                  ErrorKind aKind,
+                  const std::string& aMessage)
 {
   v1::ExecuteUpdate update;
-  update.mutable_failure()->set_kind(std::string(global::AnswerFor(aKind).mName));
+  update.mutable_failure()->set_kind(
+    std::string(global::AnswerFor(aKind).mName));
   update.mutable_failure()->set_message(aMessage);
   aStream->Push(std::move(update));
   aStream->Close();
--- a/src/agent/internal/agentcore.h
+++ b/src/agent/internal/agentcore.h
@@ -36,7 +36,8 @@
   bool IsIdle() const { return mExecutions == 0; }
   settings::Json Status() const;
 
-  void TakeDemand(const std::shared_ptr<ControlStream>& aStream, const v1::EntryDemand& aDemand) override;
+  void TakeDemand(const std::shared_ptr<ControlStream>& aStream,
+                  const v1::EntryDemand& aDemand) override;
   void TakeClosed(const std::shared_ptr<ControlStream>& aStream) override;
   v1::Ticket IssueTicket() override;
   bool CanIssueTicket() override;
@@ -52,22 +53,28 @@
   void TakeReport(const std::optional<credits::BackEndReport>& aReport);
   void UpdateCapacity();
   void SendStates();
-  v1::AgentState StateFor(credits::Slots aSlots, uint32_t aLeaseMilliseconds) const;
+  v1::AgentState StateFor(credits::Slots aSlots,
+                          uint32_t aLeaseMilliseconds) const;
   bool TakesNewWork() const;
 
   void ExecuteTicketed(const v1::ExecuteRequest& aRequest,
                        const std::shared_ptr<ExecuteStream>& aStream,
                        std::chrono::system_clock::time_point aDeadline);
-  bool Admit(const v1::ExecuteRequest& aRequest, const std::shared_ptr<ExecuteStream>& aStream);
+  bool Admit(const v1::ExecuteRequest& aRequest,
+             const std::shared_ptr<ExecuteStream>& aStream);
   void Run(const v1::ExecuteRequest& aRequest,
            const std::shared_ptr<ExecuteStream>& aStream,
            std::chrono::system_clock::time_point aDeadline);
   ExecutionEvents EventsFor(const v1::ExecuteRequest& aRequest);
-  void HandleEnd(const v1::ExecuteRequest& aRequest, bool aHoldsSlot, const ExecutionResult& aResult);
-  void RecordTicket(const tickets::Ticket& aTicket, const ExecutionResult& aResult);
+  void HandleEnd(const v1::ExecuteRequest& aRequest,
+                 bool aHoldsSlot,
+                 const ExecutionResult& aResult);
+  void RecordTicket(const tickets::Ticket& aTicket,
+                    const ExecutionResult& aResult);
   void AnswerWaiting(const tickets::Ticket& aTicket);
   void Release(const std::string& aEntry);
-  static void AnswerOutcome(const tickets::Outcome& aOutcome, const std::shared_ptr<ExecuteStream>& aStream);
+  static void AnswerOutcome(const tickets::Outcome& aOutcome,
+                            const std::shared_ptr<ExecuteStream>& aStream);
   static void Refuse(const std::shared_ptr<ExecuteStream>& aStream,
                      global::ErrorKind aKind,
                      const std::string& aMessage);
--- a/src/agent/internal/agentservice.cpp
+++ b/src/agent/internal/agentservice.cpp
@@ -5,13 +5,16 @@
 std::shared_ptr<ControlStream>
 ControlStream::Make(QObject* aContext, OnDemand aOnDemand, OnClosed aOnClosed)
 {
-  std::shared_ptr<ControlStream> stream(new ControlStream(aContext, std::move(aOnDemand), std::move(aOnClosed)));
+  std::shared_ptr<ControlStream> stream(
+    new ControlStream(aContext, std::move(aOnDemand), std::move(aOnClosed)));
   stream->mSelf = stream;
   stream->StartRead(&stream->mDemand);
   return stream;
 }
 
-ControlStream::ControlStream(QObject* aContext, OnDemand aOnDemand, OnClosed aOnClosed)
+ControlStream::ControlStream(QObject* aContext,
+                             OnDemand aOnDemand,
+                             OnClosed aOnClosed)
   : mContext(aContext)
   , mOnDemand(std::move(aOnDemand))
   , mOnClosed(std::move(aOnClosed))
@@ -34,7 +37,9 @@
     FinishLocked();
     return;
   }
-  transport::Post(mContext, [self = mSelf, demand = mDemand] { self->mOnDemand(self, demand); });
+  transport::Post(mContext, [self = mSelf, demand = mDemand] {
+    self->mOnDemand(self, demand);
+  });
   StartRead(&mDemand);
 }
 
@@ -82,7 +87,9 @@
   }
 }
 
-AgentService::AgentService(QObject* aControl, QObject* aTraffic, IAgentCalls& aCalls)
+AgentService::AgentService(QObject* aControl,
+                           QObject* aTraffic,
+                           IAgentCalls& aCalls)
   : mControl(aControl)
   , mTraffic(aTraffic)
   , mCalls(aCalls)
@@ -94,20 +101,26 @@
 {
   return ControlStream::Make(
            mControl,
-           [this](const std::shared_ptr<ControlStream>& aStream, const v1::EntryDemand& aDemand) {
+           [this](const std::shared_ptr<ControlStream>& aStream,
+                  const v1::EntryDemand& aDemand) {
              mCalls.TakeDemand(aStream, aDemand);
            },
-           [this](const std::shared_ptr<ControlStream>& aStream) { mCalls.TakeClosed(aStream); })
+           [this](const std::shared_ptr<ControlStream>& aStream) {
+             mCalls.TakeClosed(aStream);
+           })
     .get();
 }
 
 grpc::ServerUnaryReactor*
-AgentService::IssueTicket(grpc::CallbackServerContext* aContext, const v1::IssueTicketRequest*, v1::Ticket* aReply)
+AgentService::IssueTicket(grpc::CallbackServerContext* aContext,
+                          const v1::IssueTicketRequest*,
+                          v1::Ticket* aReply)
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
   transport::Post(mControl, [this, reactor, aReply] {
     if (!mCalls.CanIssueTicket()) {
-      reactor->Finish({ grpc::StatusCode::FAILED_PRECONDITION, "takes no new work" });
+      reactor->Finish(
+        { grpc::StatusCode::FAILED_PRECONDITION, "takes no new work" });
       return;
     }
     *aReply = mCalls.IssueTicket();
@@ -122,20 +135,24 @@
                            v1::TicketOutcome* aReply)
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  transport::Post(mControl, [this, reactor, aReply, ticket = aRequest->ticket()] {
-    *aReply = mCalls.SettleTicket(ticket);
-    reactor->Finish(grpc::Status::OK);
-  });
+  transport::Post(mControl,
+                  [this, reactor, aReply, ticket = aRequest->ticket()] {
+                    *aReply = mCalls.SettleTicket(ticket);
+                    reactor->Finish(grpc::Status::OK);
+                  });
   return reactor;
 }
 
 grpc::ServerWriteReactor<v1::ExecuteUpdate>*
-AgentService::Execute(grpc::CallbackServerContext* aContext, const v1::ExecuteRequest* aRequest)
+AgentService::Execute(grpc::CallbackServerContext* aContext,
+                      const v1::ExecuteRequest* aRequest)
 {
   const auto stream = ExecuteStream::Make(mTraffic);
-  transport::Post(mControl, [this, stream, request = *aRequest, deadline = aContext->deadline()] {
-    mCalls.Execute(request, stream, deadline);
-  });
+  transport::Post(
+    mControl,
+    [this, stream, request = *aRequest, deadline = aContext->deadline()] {
+      mCalls.Execute(request, stream, deadline);
+    });
   return stream.get();
 }
 
--- a/src/agent/internal/agentservice.h
+++ b/src/agent/internal/agentservice.h
@@ -11,13 +11,17 @@
 namespace beryllever::agent {
 
 /** One entry's control connection, as the control thread sees it. */
-class ControlStream : public grpc::ServerBidiReactor<v1::EntryDemand, v1::AgentState>
+class ControlStream
+  : public grpc::ServerBidiReactor<v1::EntryDemand, v1::AgentState>
 {
 public:
-  using OnDemand = std::function<void(const std::shared_ptr<ControlStream>&, const v1::EntryDemand&)>;
+  using OnDemand = std::function<void(const std::shared_ptr<ControlStream>&,
+                                      const v1::EntryDemand&)>;
   using OnClosed = std::function<void(const std::shared_ptr<ControlStream>&)>;
 
-  static std::shared_ptr<ControlStream> Make(QObject* aContext, OnDemand aOnDemand, OnClosed aOnClosed);
+  static std::shared_ptr<ControlStream> Make(QObject* aContext,
+                                             OnDemand aOnDemand,
+                                             OnClosed aOnClosed);
 
   /** Sends the newest state; one that has not been sent yet is replaced. */
   void Send(const v1::AgentState& aState);
@@ -27,7 +31,8 @@
   void OnCancel() override;
   void OnDone() override;
 
-  /** Entry at the other end; known after its first demand. Used by the control thread only. */
+  /** Entry at the other end; known after its first demand. Used by the control
+   * thread only. */
   std::string mEntry;
   uint32_t mRenewMilliseconds = 0;
   v1::AgentState mLastSent;
@@ -56,7 +61,8 @@
 public:
   virtual ~IAgentCalls() = default;
 
-  virtual void TakeDemand(const std::shared_ptr<ControlStream>& aStream, const v1::EntryDemand& aDemand) = 0;
+  virtual void TakeDemand(const std::shared_ptr<ControlStream>& aStream,
+                          const v1::EntryDemand& aDemand) = 0;
   virtual void TakeClosed(const std::shared_ptr<ControlStream>& aStream) = 0;
   virtual v1::Ticket IssueTicket() = 0;
   virtual bool CanIssueTicket() = 0;
@@ -70,18 +76,22 @@
 class AgentService : public v1::Agent::CallbackService
 {
 public:
-  /** Streams of answers report on the traffic thread, everything else on the control thread. */
+  /** Streams of answers report on the traffic thread, everything else on the
+   * control thread. */
   AgentService(QObject* aControl, QObject* aTraffic, IAgentCalls& aCalls);
 
-  grpc::ServerBidiReactor<v1::EntryDemand, v1::AgentState>* Control(grpc::CallbackServerContext* aContext) override;
+  grpc::ServerBidiReactor<v1::EntryDemand, v1::AgentState>* Control(
+    grpc::CallbackServerContext* aContext) override;
   grpc::ServerUnaryReactor* IssueTicket(grpc::CallbackServerContext* aContext,
                                         const v1::IssueTicketRequest* aRequest,
                                         v1::Ticket* aReply) override;
-  grpc::ServerUnaryReactor* SettleTicket(grpc::CallbackServerContext* aContext,
-                                         const v1::SettleTicketRequest* aRequest,
-                                         v1::TicketOutcome* aReply) override;
-  grpc::ServerWriteReactor<v1::ExecuteUpdate>* Execute(grpc::CallbackServerContext* aContext,
-                                                       const v1::ExecuteRequest* aRequest) override;
+  grpc::ServerUnaryReactor* SettleTicket(
+    grpc::CallbackServerContext* aContext,
+    const v1::SettleTicketRequest* aRequest,
+    v1::TicketOutcome* aReply) override;
+  grpc::ServerWriteReactor<v1::ExecuteUpdate>* Execute(
+    grpc::CallbackServerContext* aContext,
+    const v1::ExecuteRequest* aRequest) override;
 
 private:
   QObject* mControl;
--- a/src/agent/internal/backendmonitor.cpp
+++ b/src/agent/internal/backendmonitor.cpp
@@ -13,15 +13,19 @@
 std::optional<credits::BackEndReport>
 ParseReport(const QByteArray& aBody)
 {
-  const settings::Json json = settings::Json::parse(aBody.toStdString(), nullptr, false);
-  if (!json.is_object() || !json.contains("incarnation") || !json["incarnation"].is_string()) {
+  const settings::Json json =
+    settings::Json::parse(aBody.toStdString(), nullptr, false);
+  if (!json.is_object() || !json.contains("incarnation") ||
+      !json["incarnation"].is_string()) {
     return std::nullopt;
   }
   credits::BackEndReport report{ .mIncarnation = json["incarnation"] };
-  if (const auto it = json.find("cacheEntries"); it != json.end() && it->is_number_integer()) {
+  if (const auto it = json.find("cacheEntries");
+      it != json.end() && it->is_number_integer()) {
     report.mCacheEntries = *it;
   }
-  if (const auto it = json.find("ready"); it != json.end() && it->is_boolean()) {
+  if (const auto it = json.find("ready");
+      it != json.end() && it->is_boolean()) {
     report.mIsReady = *it;
   }
   return report;
@@ -54,17 +58,19 @@
     return;
   }
   mIsReading = true;
-  net::Fetch(mManager,
-             { .mMethod = "GET", .mUrl = mUrl },
-             kTimeout,
-             [this](const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer) {
-               mIsReading = false;
-               HandleAnswer(aOutcome, aAnswer.mBody);
-             });
+  net::Fetch(
+    mManager,
+    { .mMethod = "GET", .mUrl = mUrl },
+    kTimeout,
+    [this](const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer) {
+      mIsReading = false;
+      HandleAnswer(aOutcome, aAnswer.mBody);
+    });
 }
 
 void
-BackEndMonitor::HandleAnswer(const net::HttpOutcome& aOutcome, const QByteArray& aBody)
+BackEndMonitor::HandleAnswer(const net::HttpOutcome& aOutcome,
+                             const QByteArray& aBody)
 {
   if (!aOutcome.mIsComplete || aOutcome.mStatus != 200) {
     return;
--- a/src/agent/internal/backendmonitor.h
+++ b/src/agent/internal/backendmonitor.h
@@ -16,7 +16,8 @@
 {
 public:
   /** Gets a report, or nothing if the back end has been silent for too long. */
-  using OnReport = std::function<void(const std::optional<credits::BackEndReport>&)>;
+  using OnReport =
+    std::function<void(const std::optional<credits::BackEndReport>&)>;
 
   BackEndMonitor(const global::IClock& aClock,
                  QNetworkAccessManager& aManager,
--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -32,7 +32,9 @@
   , mStream(std::move(aStream))
   , mDeadline(aDeadline)
   , mEvents(std::move(aEvents))
-  , mSpan(aContext.mTracer.Start(tracing::ParseTraceparent(mRequest.traceparent()), "agent"))
+  , mSpan(
+      aContext.mTracer.Start(tracing::ParseTraceparent(mRequest.traceparent()),
+                             "agent"))
   , mOffset(mRequest.resume_offset())
 {
 }
@@ -46,7 +48,9 @@
   const auto self = shared_from_this();
   mStream->SetOnTaken([self] { self->Relay(); });
   mStream->SetOnGone([self] { self->HandleGone(); });
-  QObject::connect(&mStallTimer, &QTimer::timeout, &mStallTimer, [this] { CheckStall(); });
+  mStallTimer = new QTimer;
+  QObject::connect(
+    mStallTimer, &QTimer::timeout, mStallTimer, [this] { CheckStall(); });
   Send();
 }
 
@@ -54,33 +58,45 @@
 Execution::Send()
 {
   mSentAt = mContext.mClock.Now();
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(mDeadline - std::chrono::system_clock::now());
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mDeadline - std::chrono::system_clock::now());
   // A ticket's outcome is worth knowing after the caller's deadline, too.
   const auto ticketTime = IsTicketed() ? kTicketTime : kStallTick;
-  const auto timeout = IsStreamed() ? std::chrono::milliseconds(kStreamTime) : std::max(left, ticketTime);
-  mCall = std::make_unique<net::HttpCall>(mContext.mManager, MakeRequest(), timeout);
+  const auto timeout = IsStreamed() ? std::chrono::milliseconds(kStreamTime)
+                                    : std::max(left, ticketTime);
+  mCall =
+    std::make_unique<net::HttpCall>(mContext.mManager, MakeRequest(), timeout);
   mCall->SetOnReadable([this] { Relay(); });
-  mCall->SetOnEnd([this](const net::HttpOutcome& aOutcome) { HandleEnd(aOutcome); });
-  mStallTimer.start(kStallTick);
+  mCall->SetOnEnd(
+    [this](const net::HttpOutcome& aOutcome) { HandleEnd(aOutcome); });
+  mStallTimer->start(kStallTick);
 }
 
 net::HttpCallRequest
 Execution::MakeRequest() const
 {
   const bool isChat = mRequest.kind() == configuration::kChatKind;
-  const std::string path = isChat ? "/v1/chat/completions" : "/v1/calls/" + mRequest.kind();
-  net::HttpCallRequest request{ .mMethod = "POST",
-                                .mUrl = QUrl(QString::fromStdString(mContext.mBackEnd + path)),
-                                .mBody = QByteArray::fromStdString(mRequest.body()) };
-  request.mHeaders = { { "Content-Type", "application/json" },
-                       { "X-Workspace", QByteArray::fromStdString(mRequest.workspace()) },
-                       { "X-Priority", QByteArray::number(mRequest.priority()) },
-                       { "traceparent", QByteArray::fromStdString(mSpan.mContext.ToHeader()) } };
+  const std::string path =
+    isChat ? "/v1/chat/completions" : "/v1/calls/" + mRequest.kind();
+  net::HttpCallRequest request{
+    .mMethod = "POST",
+    .mUrl = QUrl(QString::fromStdString(mContext.mBackEnd + path)),
+    .mBody = QByteArray::fromStdString(mRequest.body())
+  };
+  request.mHeaders = {
+    { "Content-Type", "application/json" },
+    { "X-Workspace", QByteArray::fromStdString(mRequest.workspace()) },
+    { "X-Priority", QByteArray::number(mRequest.priority()) },
+    { "traceparent", QByteArray::fromStdString(mSpan.mContext.ToHeader()) }
+  };
   if (IsStreamed()) {
     request.mReadBufferBytes = mContext.mLimits.mStreamBytes;
-    request.mHeaders.append({ "X-Request-Id", QByteArray::fromStdString(mRequest.stream_id()) });
+    request.mHeaders.append(
+      { "X-Request-Id", QByteArray::fromStdString(mRequest.stream_id()) });
     if (mOffset > 0) {
-      request.mHeaders.append({ "Last-Event-ID", QByteArray::number(static_cast<qulonglong>(mOffset)) });
+      request.mHeaders.append(
+        { "Last-Event-ID",
+          QByteArray::number(static_cast<qulonglong>(mOffset)) });
     }
   }
   return request;
@@ -102,8 +118,10 @@
   if (!mHasHead && mCall->Status() != 0) {
     SendHead();
   }
-  // The record of a ticket needs the whole answer soon, so its reader is not waited for.
-  while (mCall->Readable() > 0 && (IsTicketed() || mStream->Depth() < kMaxQueuedUpdates)) {
+  // The record of a ticket needs the whole answer soon, so its reader is not
+  // waited for.
+  while (mCall->Readable() > 0 &&
+         (IsTicketed() || mStream->Depth() < kMaxQueuedUpdates)) {
     SendChunk(mCall->Read(kChunkBytes));
   }
   if (mCall->Readable() == 0 && mOutcome) {
@@ -122,10 +140,13 @@
 {
   mHasHead = true;
   mResult.mHttpStatus = mCall->Status();
-  mResult.mFirstByte = std::chrono::duration_cast<std::chrono::microseconds>(mContext.mClock.Now() - mSentAt);
+  mResult.mFirstByte = std::chrono::duration_cast<std::chrono::microseconds>(
+    mContext.mClock.Now() - mSentAt);
   v1::ExecuteUpdate update;
   update.mutable_head()->set_http_status(mCall->Status());
-  update.mutable_head()->set_content_type(net::HttpAnswer{ mCall->AllHeaders(), {} }.Header("Content-Type").toStdString());
+  update.mutable_head()->set_content_type(net::HttpAnswer{
+    mCall->AllHeaders(), {} }.Header("Content-Type")
+                                            .toStdString());
   mStream->Push(std::move(update));
 }
 
@@ -134,7 +155,8 @@
 {
   if (IsTicketed()) {
     mResult.mBody.append(aData.constData(), static_cast<size_t>(aData.size()));
-    mIsTooLarge = mIsTooLarge || static_cast<int64_t>(mResult.mBody.size()) > mContext.mLimits.mBodyBytes;
+    mIsTooLarge = mIsTooLarge || static_cast<int64_t>(mResult.mBody.size()) >
+                                   mContext.mLimits.mBodyBytes;
     if (mIsTooLarge) {
       mResult.mBody.clear();
       return;
@@ -142,7 +164,8 @@
   }
   v1::ExecuteUpdate update;
   update.mutable_chunk()->set_offset(mOffset);
-  update.mutable_chunk()->set_data(aData.constData(), static_cast<size_t>(aData.size()));
+  update.mutable_chunk()->set_data(aData.constData(),
+                                   static_cast<size_t>(aData.size()));
   mOffset += static_cast<uint64_t>(aData.size());
   mStream->Push(std::move(update));
 }
@@ -151,7 +174,8 @@
 Execution::PushFailure(ErrorKind aKind, const std::string& aMessage)
 {
   v1::ExecuteUpdate update;
-  update.mutable_failure()->set_kind(std::string(global::AnswerFor(aKind).mName));
+  update.mutable_failure()->set_kind(
+    std::string(global::AnswerFor(aKind).mName));
   update.mutable_failure()->set_message(aMessage);
   mStream->Push(std::move(update));
   mStream->Close();
@@ -170,16 +194,19 @@
   }
   mResult.mIsComplete = aOutcome.mIsComplete && !mIsTooLarge;
   mResult.mIsSent = aOutcome.mIsSent;
-  mResult.mReason = mIsTooLarge ? "the back end's answer is too large" : aOutcome.mReason.toStdString();
+  mResult.mReason = mIsTooLarge ? "the back end's answer is too large"
+                                : aOutcome.mReason.toStdString();
   if (mResult.mIsComplete) {
     v1::ExecuteUpdate update;
     update.mutable_end()->set_length(mOffset);
     mStream->Push(std::move(update));
     mStream->Close();
   } else if (!aOutcome.mIsSent) {
-    PushFailure(ErrorKind::NotRun, "the back end could not be reached: " + mResult.mReason);
+    PushFailure(ErrorKind::NotRun,
+                "the back end could not be reached: " + mResult.mReason);
   } else if (IsTicketed()) {
-    PushFailure(ErrorKind::OutcomeUnknown, "the back end's answer is lost: " + mResult.mReason);
+    PushFailure(ErrorKind::OutcomeUnknown,
+                "the back end's answer is lost: " + mResult.mReason);
   } else {
     PushFailure(ErrorKind::EndpointFailed, mResult.mReason);
   }
@@ -189,7 +216,8 @@
 void
 Execution::HandleGone()
 {
-  // The record of a ticket needs the back end's answer, whoever is there to read it.
+  // The record of a ticket needs the back end's answer, whoever is there to
+  // read it.
   if (mIsOver || IsTicketed()) {
     return;
   }
@@ -212,7 +240,8 @@
 void
 Execution::Pause()
 {
-  LOGD("A reader is slow; the back end's stream is paused. stream=" << mRequest.stream_id() << " offset=" << mOffset);
+  LOGD("A reader is slow; the back end's stream is paused. stream="
+       << mRequest.stream_id() << " offset=" << mOffset);
   mIsPaused = true;
   mStallDeadline = global::TimePoint::max();
   mOutcome.reset();
@@ -235,7 +264,8 @@
       return;
     }
     if (!aIsAdmitted) {
-      QTimer::singleShot(kResumeRetry, self->mContext.mThreadContext, [self] { self->Relay(); });
+      QTimer::singleShot(
+        kResumeRetry, self->mContext.mThreadContext, [self] { self->Relay(); });
       return;
     }
     self->mIsPaused = false;
@@ -248,7 +278,8 @@
 {
   const std::string path = "/v1/requests/" + mRequest.stream_id();
   net::Fetch(mContext.mManager,
-             { .mMethod = "DELETE", .mUrl = QUrl(QString::fromStdString(mContext.mBackEnd + path)) },
+             { .mMethod = "DELETE",
+               .mUrl = QUrl(QString::fromStdString(mContext.mBackEnd + path)) },
              kCancelTimeout,
              [](const net::HttpOutcome&, const net::HttpAnswer&) {});
 }
@@ -260,7 +291,10 @@
     return;
   }
   mIsOver = true;
-  mStallTimer.stop();
+  // Callers up the stack still use the execution.
+  transport::Post(mContext.mThreadContext, [self = shared_from_this()] {});
+  mStallTimer->stop();
+  mStallTimer->deleteLater();
   mSpan.mAttributes["status"] = std::to_string(aResult.mHttpStatus);
   mContext.mTracer.Finish(mSpan);
   mEvents.mOnEnd(aResult);
--- a/src/agent/internal/execution.h
+++ b/src/agent/internal/execution.h
@@ -29,11 +29,13 @@
   std::string mReason;
 };
 
-/** Tells the control thread of an execution. All are called on the execution's thread. */
+/** Tells the control thread of an execution. All are called on the execution's
+ * thread. */
 struct ExecutionEvents
 {
   std::function<void(const ExecutionResult&)> mOnEnd;
-  /** The reader is slow and the back end's stream has been cancelled for now. */
+  /** The reader is slow and the back end's stream has been cancelled for now.
+   */
   std::function<void()> mOnPause;
   /** The reader has caught up; the answer comes through the argument. */
   std::function<void(std::function<void(bool aIsAdmitted)>)> mOnResume;
@@ -51,9 +53,10 @@
 };
 
 /**
- * Runs one admitted request at the back end and passes the answer on. At most one
- * window of the answer is held; a reader that stays behind makes the back end's
- * stream be cancelled, and resumed from its offset when the reader has caught up.
+ * Runs one admitted request at the back end and passes the answer on. At most
+ * one window of the answer is held; a reader that stays behind makes the back
+ * end's stream be cancelled, and resumed from its offset when the reader has
+ * caught up.
  */
 class Execution : public std::enable_shared_from_this<Execution>
 {
@@ -91,7 +94,8 @@
   ExecutionEvents mEvents;
   tracing::Span mSpan;
   std::unique_ptr<net::HttpCall> mCall;
-  QTimer mStallTimer;
+  /** Made and deleted on the traffic thread. */
+  QTimer* mStallTimer = nullptr;
   uint64_t mOffset;
   bool mHasHead = false;
   bool mIsPaused = false;
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "configuration/processsettings.h"
-#include "framework/kernel/kernel.h"
 #include "framework/global/iclock.h"
+#include "framework/kernel/kernel.h"
 
 #include <QTimer>
 #include <memory>
--- a/src/app/internal/coremodule.cpp
+++ b/src/app/internal/coremodule.cpp
@@ -15,7 +15,8 @@
 constexpr int kCoreRank = 10;
 constexpr int kListenRank = 90;
 
-/** Offers what all modules use: clock, metrics, traces, operators' pages, the gRPC server. */
+/** Offers what all modules use: clock, metrics, traces, operators' pages, the
+ * gRPC server. */
 class CoreModule : public kernel::IModule
 {
 public:
@@ -31,9 +32,12 @@
     aKernel.Provide<global::IClock>(clock);
     aKernel.Provide<metrics::Metrics>(metrics);
     aKernel.Provide<tracing::Tracer>(mTracer);
-    aKernel.Provide<QNetworkAccessManager>(std::make_shared<QNetworkAccessManager>());
-    aKernel.Provide<transport::GrpcServer>(std::make_shared<transport::GrpcServer>());
-    const auto pages = std::make_shared<operations::OperatorPages>(*clock, *metrics);
+    aKernel.Provide<QNetworkAccessManager>(
+      std::make_shared<QNetworkAccessManager>());
+    aKernel.Provide<transport::GrpcServer>(
+      std::make_shared<transport::GrpcServer>());
+    const auto pages =
+      std::make_shared<operations::OperatorPages>(*clock, *metrics);
     aKernel.Provide<operations::OperatorPages>(pages);
     aKernel.Provide<operations::IOperatorPages>(pages);
   }
@@ -46,7 +50,8 @@
     aKernel.Get<operations::IOperatorPages>()->AddStatus("process", [settings] {
       return settings::Json{ { "role", settings->Role() },
                              { "vm", settings->VmName() },
-                             { "availabilityZone", settings->AvailabilityZone() } };
+                             { "availabilityZone",
+                               settings->AvailabilityZone() } };
     });
   }
 
@@ -70,11 +75,16 @@
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
     mServer = aKernel.Get<transport::GrpcServer>();
     if (!mServer->Start(settings->PeerAddress())) {
-      throw std::runtime_error("peerAddress " + settings->PeerAddress() + " cannot be listened on");
+      throw std::runtime_error("peerAddress " + settings->PeerAddress() +
+                               " cannot be listened on");
     }
-    const auto address = configuration::ParseAddress(settings->OperatorAddress()).value();
-    if (!aKernel.Get<operations::OperatorPages>()->Listen(address.mHost, address.mPort)) {
-      throw std::runtime_error("operatorAddress " + settings->OperatorAddress() + " cannot be listened on");
+    const auto address =
+      configuration::ParseAddress(settings->OperatorAddress()).value();
+    if (!aKernel.Get<operations::OperatorPages>()->Listen(address.mHost,
+                                                          address.mPort)) {
+      throw std::runtime_error("operatorAddress " +
+                               settings->OperatorAddress() +
+                               " cannot be listened on");
     }
   }
 
@@ -84,8 +94,12 @@
   std::shared_ptr<transport::GrpcServer> mServer;
 };
 
-const kernel::ModuleRegistrar kCoreRegistrar(kCoreRank, [] { return std::make_unique<CoreModule>(); });
-const kernel::ModuleRegistrar kListenRegistrar(kListenRank, [] { return std::make_unique<ListenModule>(); });
+const kernel::ModuleRegistrar kCoreRegistrar(kCoreRank, [] {
+  return std::make_unique<CoreModule>();
+});
+const kernel::ModuleRegistrar kListenRegistrar(kListenRank, [] {
+  return std::make_unique<ListenModule>();
+});
 
 }
 
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -35,8 +35,9 @@
     LOGE("The process cannot start. reason=" << error.what());
     return kExitStartFailed;
   }
-  LOGI("Ready for work. role=" << mSettings->Role() << " vm=" << mSettings->VmName()
-                               << " availabilityZone=" << mSettings->AvailabilityZone());
+  LOGI("Ready for work. role="
+       << mSettings->Role() << " vm=" << mSettings->VmName()
+       << " availabilityZone=" << mSettings->AvailabilityZone());
   const int code = QCoreApplication::exec();
   mKernel.StopAll();
   return code;
@@ -53,7 +54,8 @@
   mIsStopping = true;
   mEarliestExit = mClock.Now() + kMinStopTime;
   mKernel.BeginStop();
-  QObject::connect(&mStopTimer, &QTimer::timeout, &mStopTimer, [this] { CheckIdle(); });
+  QObject::connect(
+    &mStopTimer, &QTimer::timeout, &mStopTimer, [this] { CheckIdle(); });
   mStopTimer.start(kIdleCheck);
 }
 
--- a/src/app/internal/distributionmodule.cpp
+++ b/src/app/internal/distributionmodule.cpp
@@ -20,13 +20,18 @@
   void RegisterExports(kernel::Kernel& aKernel) override
   {
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
-    const auto platform =
-      std::make_shared<platform::ConsulPlatform>(*aKernel.Get<QNetworkAccessManager>(), settings->Platform());
+    const auto platform = std::make_shared<platform::ConsulPlatform>(
+      *aKernel.Get<QNetworkAccessManager>(), settings->Platform());
     mNode = std::make_shared<distribution::ConfigurationNode>(
-      *aKernel.Get<global::IClock>(), settings, platform, *aKernel.Get<metrics::Metrics>());
+      *aKernel.Get<global::IClock>(),
+      settings,
+      platform,
+      *aKernel.Get<metrics::Metrics>());
     aKernel.Provide<configuration::IConfiguration>(mNode);
     mService = std::make_shared<distribution::PeerService>(
-      &mContext, [this](const v1::FollowRequest& aRequest, const std::shared_ptr<distribution::FollowStream>& aStream) {
+      &mContext,
+      [this](const v1::FollowRequest& aRequest,
+             const std::shared_ptr<distribution::FollowStream>& aStream) {
         mNode->AddFollower(aRequest, aStream);
       });
   }
@@ -36,9 +41,15 @@
     aKernel.Get<transport::GrpcServer>()->Add(mService);
     const auto pages = aKernel.Get<operations::IOperatorPages>();
     pages->AddStatus("configuration", [this] { return Status(); });
-    pages->AddReadiness([this] { return std::string(mNode->IsKnown() ? "" : "no configuration is known"); });
-    pages->AddReadiness([this] { return std::string(mNode->IsSelfOut() ? "out of service" : ""); });
-    pages->AddPage("/vms", [this](const operations::IOperatorPages::Query&) { return VmPage(); });
+    pages->AddReadiness([this] {
+      return std::string(mNode->IsKnown() ? "" : "no configuration is known");
+    });
+    pages->AddReadiness([this] {
+      return std::string(mNode->IsSelfOut() ? "out of service" : "");
+    });
+    pages->AddPage("/vms", [this](const operations::IOperatorPages::Query&) {
+      return VmPage();
+    });
     mNode->Start();
   }
 
@@ -56,7 +67,8 @@
              { "sources", status.mSources },
              { "platformAgeMilliseconds", status.mPlatformAge.count() },
              { "refusal", status.mRefusal },
-             { "outAvailabilityZones", tables->Service().mOutAvailabilityZones },
+             { "outAvailabilityZones",
+               tables->Service().mOutAvailabilityZones },
              { "outVms", tables->Service().mOutVms },
              { "isOutOfService", mNode->IsSelfOut() } };
   }
@@ -65,7 +77,8 @@
   {
     settings::Json vms = settings::Json::array();
     for (const auto& [name, vm] : mNode->CurrentVms()->Vms()) {
-      vms.push_back(settings::Json::parse(configuration::ChangeFromVm(vm, 0).mValue));
+      vms.push_back(
+        settings::Json::parse(configuration::ChangeFromVm(vm, 0).mValue));
     }
     return { { "vms", vms } };
   }
@@ -75,7 +88,9 @@
   QObject mContext;
 };
 
-const kernel::ModuleRegistrar kRegistrar(kRank, [] { return std::make_unique<DistributionModule>(); });
+const kernel::ModuleRegistrar kRegistrar(kRank, [] {
+  return std::make_unique<DistributionModule>();
+});
 
 }
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,13 +16,19 @@
 main(int aCount, char** aArguments)
 {
   using namespace beryllever;
-  CLI::App options{ "berylleverd: one process of the load balancer beryllever.\n"
-                    "Its settings name its role: entry, or agent in front of a back end." };
+  CLI::App options{
+    "berylleverd: one process of the load balancer beryllever.\n"
+    "Its settings name its role: entry, or agent in front of a back end."
+  };
   std::string path;
   bool isCheckOnly = false;
-  options.add_option("--settings,settings", path, "File with the settings, JSON with comments")->required();
+  options
+    .add_option(
+      "--settings,settings", path, "File with the settings, JSON with comments")
+    ->required();
   options.add_flag("--check", isCheckOnly, "Check the settings and exit");
-  options.footer("Exit codes: 0 stopped as asked, 2 bad settings, 3 an address cannot be listened on.\n"
+  options.footer("Exit codes: 0 stopped as asked, 2 bad settings, 3 an address "
+                 "cannot be listened on.\n"
                  "Example: berylleverd --settings /etc/beryllever/entry.json");
   CLI11_PARSE(options, aCount, aArguments);
 
@@ -32,7 +38,8 @@
       return configuration::ParseSettings(text, path);
     },
     [](const global::Error& aError) {
-      std::cerr << "berylleverd: bad settings: " << aError.mMessage << std::endl;
+      std::cerr << "berylleverd: bad settings: " << aError.mMessage
+                << std::endl;
       return std::shared_ptr<configuration::IProcessSettings>();
     });
   if (!settings) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -56,13 +56,17 @@
 int
 Outcome(const SendOptions& aOptions, const CommonOptions& aCommon);
 int
-Status(const std::string& aOperator, bool aIsFleet, const CommonOptions& aCommon);
+Status(const std::string& aOperator,
+       bool aIsFleet,
+       const CommonOptions& aCommon);
 int
 Explain(const std::string& aOperator,
         const std::string& aWorkspace,
         const std::string& aKind,
         const CommonOptions& aCommon);
 int
-Trace(const std::string& aCollector, const std::string& aTraceId, const CommonOptions& aCommon);
+Trace(const std::string& aCollector,
+      const std::string& aTraceId,
+      const CommonOptions& aCommon);
 
 }
--- a/src/cli/internal/check.cpp
+++ b/src/cli/internal/check.cpp
@@ -37,7 +37,9 @@
       }
       BOOST_LEAF_AUTO(entries, configuration::ParseDocuments(documents));
       if (aCommon.mIsJson) {
-        std::cout << Json{ { "verdict", "accepted" }, { "entries", entries.size() } }.dump() << std::endl;
+        std::cout << Json{
+          { "verdict", "accepted" }, { "entries", entries.size() }
+        }.dump() << std::endl;
       } else {
         std::cout << "accepted: " << entries.size() << " entries" << std::endl;
       }
@@ -45,7 +47,9 @@
     },
     [&](const global::Error& aError) {
       if (aCommon.mIsJson) {
-        std::cout << Json{ { "verdict", "refused" }, { "reason", aError.mMessage } }.dump() << std::endl;
+        std::cout << Json{
+          { "verdict", "refused" }, { "reason", aError.mMessage }
+        }.dump() << std::endl;
       } else {
         std::cerr << "refused: " << aError.mMessage << std::endl;
       }
--- a/src/cli/internal/client.cpp
+++ b/src/cli/internal/client.cpp
@@ -42,7 +42,8 @@
 ClientAnswer
 Client::Get(const std::string& aUrl)
 {
-  return Send({ .mMethod = "GET", .mUrl = QUrl(QString::fromStdString(aUrl)) }, kGetTimeout);
+  return Send({ .mMethod = "GET", .mUrl = QUrl(QString::fromStdString(aUrl)) },
+              kGetTimeout);
 }
 
 int
@@ -50,11 +51,13 @@
 {
   const QByteArray execution = aAnswer.mAnswer.Header("X-Execution");
   if (aAnswer.mOutcome.mStatus == 0 || !aAnswer.mOutcome.mIsComplete) {
-    std::cerr << "no whole answer: " << aAnswer.mOutcome.mReason.toStdString() << std::endl;
+    std::cerr << "no whole answer: " << aAnswer.mOutcome.mReason.toStdString()
+              << std::endl;
   } else if (aIsJson) {
     std::cout << aAnswer.mAnswer.mBody.toStdString() << std::endl;
   } else {
-    std::cerr << "refused: " << aAnswer.mAnswer.mBody.toStdString() << std::endl;
+    std::cerr << "refused: " << aAnswer.mAnswer.mBody.toStdString()
+              << std::endl;
   }
   if (execution == "not_run") {
     return kExitNotRun;
--- a/src/cli/internal/client.h
+++ b/src/cli/internal/client.h
@@ -18,10 +18,12 @@
 class Client
 {
 public:
-  /** Sends a request; the function, if any, gets the answer's bytes as they come. */
-  ClientAnswer Send(const net::HttpCallRequest& aRequest,
-                    std::chrono::milliseconds aTimeout,
-                    const std::function<void(const QByteArray&)>& aOnBytes = {});
+  /** Sends a request; the function, if any, gets the answer's bytes as they
+   * come. */
+  ClientAnswer Send(
+    const net::HttpCallRequest& aRequest,
+    std::chrono::milliseconds aTimeout,
+    const std::function<void(const QByteArray&)>& aOnBytes = {});
   ClientAnswer Get(const std::string& aUrl);
 
 private:
--- a/src/cli/internal/reports.cpp
+++ b/src/cli/internal/reports.cpp
@@ -17,7 +17,8 @@
 ReadPage(Client& aClient, const std::string& aUrl)
 {
   const ClientAnswer answer = aClient.Get(aUrl);
-  const Json json = Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
+  const Json json =
+    Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
   return answer.mOutcome.mStatus == 200 && !json.is_discarded() ? json : Json();
 }
 
@@ -38,10 +39,13 @@
   if (aStatus.is_null()) {
     return { aName, "-", "-", "-", "no answer" };
   }
-  const bool isOut = aStatus.value("/configuration/isOutOfService"_json_pointer, false);
+  const bool isOut =
+    aStatus.value("/configuration/isOutOfService"_json_pointer, false);
   const bool isAgent = Text(aStatus, "/process/role") == "agent";
-  const std::string load = isAgent ? "running " + Text(aStatus, "/agent/running") + " of " + Text(aStatus, "/agent/bears")
-                                   : "held bytes " + Text(aStatus, "/memory/heldBytes");
+  const std::string load =
+    isAgent ? "running " + Text(aStatus, "/agent/running") + " of " +
+                Text(aStatus, "/agent/bears")
+            : "held bytes " + Text(aStatus, "/memory/heldBytes");
   return { aName,
            Text(aStatus, "/process/role"),
            Text(aStatus, "/process/availabilityZone"),
@@ -51,7 +55,9 @@
 }
 
 int
-PrintFleet(Client& aClient, const std::string& aOperator, const CommonOptions& aCommon)
+PrintFleet(Client& aClient,
+           const std::string& aOperator,
+           const CommonOptions& aCommon)
 {
   const Json page = ReadPage(aClient, aOperator + "/vms");
   if (page.is_null()) {
@@ -59,11 +65,15 @@
     return kExitFailed;
   }
   Json all = Json::object();
-  std::vector<std::vector<std::string>> rows{ { "vm", "role", "zone", "revision", "service", "load" } };
+  std::vector<std::vector<std::string>> rows{
+    { "vm", "role", "zone", "revision", "service", "load" }
+  };
   bool isWhole = true;
   for (const Json& vm : page["vms"]) {
     const std::string name = vm["name"];
-    all[name] = ReadPage(aClient, "http://" + vm["operatorAddress"].get<std::string>() + "/status");
+    all[name] = ReadPage(aClient,
+                         "http://" + vm["operatorAddress"].get<std::string>() +
+                           "/status");
     isWhole = isWhole && !all[name].is_null();
     rows.push_back(StatusRow(name, all[name]));
   }
@@ -90,12 +100,17 @@
 PrintSpans(const Json& aTrace)
 {
   std::vector<Json> spans = aTrace["spans"];
-  std::sort(
-    spans.begin(), spans.end(), [](const Json& a, const Json& b) { return a["startTime"] < b["startTime"]; });
-  std::vector<std::vector<std::string>> rows{ { "hop", "process", "start us", "took us", "endpoint", "end" } };
-  const int64_t start = spans.empty() ? 0 : spans.front()["startTime"].get<int64_t>();
+  std::sort(spans.begin(), spans.end(), [](const Json& a, const Json& b) {
+    return a["startTime"] < b["startTime"];
+  });
+  std::vector<std::vector<std::string>> rows{
+    { "hop", "process", "start us", "took us", "endpoint", "end" }
+  };
+  const int64_t start =
+    spans.empty() ? 0 : spans.front()["startTime"].get<int64_t>();
   for (const Json& span : spans) {
-    const std::string process = aTrace["processes"][span["processID"].get<std::string>()]["serviceName"];
+    const std::string process =
+      aTrace["processes"][span["processID"].get<std::string>()]["serviceName"];
     rows.push_back({ span["operationName"],
                      process,
                      std::to_string(span["startTime"].get<int64_t>() - start),
@@ -113,7 +128,8 @@
 {
   Client client;
   const ClientAnswer answer = client.Get(aEntry + "/v1/addresses");
-  const Json json = Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
+  const Json json =
+    Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
   if (answer.mOutcome.mStatus != 200 || !json.is_object()) {
     return ReportFailure(answer, aCommon.mIsJson);
   }
@@ -126,12 +142,15 @@
     rows.push_back({ address["url"], address["availabilityZone"] });
   }
   PrintTable(rows);
-  std::cout << "keep for " << json["ttlSeconds"] << " s, revision " << json["revision"] << std::endl;
+  std::cout << "keep for " << json["ttlSeconds"] << " s, revision "
+            << json["revision"] << std::endl;
   return kExitGood;
 }
 
 int
-Status(const std::string& aOperator, bool aIsFleet, const CommonOptions& aCommon)
+Status(const std::string& aOperator,
+       bool aIsFleet,
+       const CommonOptions& aCommon)
 {
   Client client;
   if (aIsFleet) {
@@ -153,7 +172,8 @@
         const CommonOptions& aCommon)
 {
   Client client;
-  const Json report = ReadPage(client, aOperator + "/explain?workspace=" + aWorkspace + "&kind=" + aKind);
+  const Json report = ReadPage(
+    client, aOperator + "/explain?workspace=" + aWorkspace + "&kind=" + aKind);
   if (report.is_null()) {
     std::cerr << "no answer from " << aOperator << std::endl;
     return kExitFailed;
@@ -162,9 +182,12 @@
     std::cout << report.dump() << std::endl;
     return kExitGood;
   }
-  std::cout << "route " << Text(report, "/route") << ", pool " << Text(report, "/pool") << ", revision "
+  std::cout << "route " << Text(report, "/route") << ", pool "
+            << Text(report, "/pool") << ", revision "
             << Text(report, "/revision") << std::endl;
-  std::vector<std::vector<std::string>> rows{ { "vm", "zone", "address", "verdict", "usage" } };
+  std::vector<std::vector<std::string>> rows{
+    { "vm", "zone", "address", "verdict", "usage" }
+  };
   for (const Json& endpoint : report.value("endpoints", Json::array())) {
     rows.push_back({ Text(endpoint, "/vm"),
                      Text(endpoint, "/availabilityZone"),
@@ -178,7 +201,9 @@
 }
 
 int
-Trace(const std::string& aCollector, const std::string& aTraceId, const CommonOptions& aCommon)
+Trace(const std::string& aCollector,
+      const std::string& aTraceId,
+      const CommonOptions& aCommon)
 {
   Client client;
   const Json page = ReadPage(client, aCollector + "/api/traces/" + aTraceId);
--- a/src/cli/internal/send.cpp
+++ b/src/cli/internal/send.cpp
@@ -21,7 +21,8 @@
 {
   std::vector<std::string> entries;
   const ClientAnswer answer = aClient.Get(aEntry + "/v1/addresses");
-  const Json json = Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
+  const Json json =
+    Json::parse(answer.mAnswer.mBody.toStdString(), nullptr, false);
   if (json.is_object() && json.contains("addresses")) {
     for (const Json& address : json["addresses"]) {
       entries.push_back(address.value("url", ""));
@@ -34,11 +35,14 @@
 net::Headers
 HeadersFor(const SendOptions& aOptions, const tracing::TraceContext& aTrace)
 {
-  net::Headers headers{ { "Content-Type", "application/json" },
-                        { "X-Workspace", QByteArray::fromStdString(aOptions.mWorkspace) },
-                        { "traceparent", QByteArray::fromStdString(aTrace.ToHeader()) } };
+  net::Headers headers{
+    { "Content-Type", "application/json" },
+    { "X-Workspace", QByteArray::fromStdString(aOptions.mWorkspace) },
+    { "traceparent", QByteArray::fromStdString(aTrace.ToHeader()) }
+  };
   if (aOptions.mTimeoutMilliseconds > 0) {
-    headers.emplaceBack("X-Timeout-Milliseconds", QByteArray::number(aOptions.mTimeoutMilliseconds));
+    headers.emplaceBack("X-Timeout-Milliseconds",
+                        QByteArray::number(aOptions.mTimeoutMilliseconds));
   }
   return headers;
 }
@@ -61,7 +65,8 @@
   void Take(const QByteArray& aBytes)
   {
     mPartial += aBytes;
-    for (qsizetype end = mPartial.indexOf("\n\n"); end >= 0; end = mPartial.indexOf("\n\n")) {
+    for (qsizetype end = mPartial.indexOf("\n\n"); end >= 0;
+         end = mPartial.indexOf("\n\n")) {
       TakeEvent(mPartial.left(end));
       mPartial.remove(0, end + 2);
     }
@@ -96,7 +101,8 @@
     }
     const Json json = Json::parse(aData.toStdString(), nullptr, false);
     const Json::json_pointer content("/choices/0/delta/content");
-    if (json.is_object() && json.contains(content) && json[content].is_string()) {
+    if (json.is_object() && json.contains(content) &&
+        json[content].is_string()) {
       std::cout << json[content].get<std::string>() << std::flush;
     }
   }
@@ -107,33 +113,42 @@
   bool mIsDone = false;
 };
 
-/** Whether another entry may be tried: the answer says so, or a stream broke off. */
+/** Whether another entry may be tried: the answer says so, or a stream broke
+ * off. */
 bool
 MayTryAgain(const ClientAnswer& aAnswer, bool aCanResume)
 {
   const bool isCut = !aAnswer.mOutcome.mIsComplete;
-  const bool isNotRun = aAnswer.mAnswer.Header("X-Execution") == "not_run" && !aAnswer.mAnswer.Header("Retry-After").isEmpty();
+  const bool isNotRun = aAnswer.mAnswer.Header("X-Execution") == "not_run" &&
+                        !aAnswer.mAnswer.Header("Retry-After").isEmpty();
   return isNotRun || (isCut && (aCanResume || !aAnswer.mOutcome.mIsSent));
 }
 
 int
-StreamChat(Client& aClient, const SendOptions& aOptions, const CommonOptions& aCommon, const Json& aBody)
+StreamChat(Client& aClient,
+           const SendOptions& aOptions,
+           const CommonOptions& aCommon,
+           const Json& aBody)
 {
   const tracing::TraceContext trace = NewTrace();
   const auto entries = EntriesFor(aClient, aOptions.mEntry);
   EventPrinter printer(aCommon.mIsJson);
   ClientAnswer answer;
   for (int i = 0; i < kMaxTries; ++i) {
-    net::HttpCallRequest request{ .mMethod = "POST",
-                                  .mUrl = QUrl(QString::fromStdString(entries[i % entries.size()] +
-                                                                      "/v1/chat/completions")),
-                                  .mHeaders = HeadersFor(aOptions, trace),
-                                  .mBody = QByteArray::fromStdString(aBody.dump()) };
+    net::HttpCallRequest request{
+      .mMethod = "POST",
+      .mUrl = QUrl(QString::fromStdString(entries[i % entries.size()] +
+                                          "/v1/chat/completions")),
+      .mHeaders = HeadersFor(aOptions, trace),
+      .mBody = QByteArray::fromStdString(aBody.dump())
+    };
     if (!printer.LastId().isEmpty()) {
       request.mHeaders.emplaceBack("Last-Event-ID", printer.LastId());
     }
     printer.Reset();
-    answer = aClient.Send(request, kChatTime, [&](const QByteArray& aBytes) { printer.Take(aBytes); });
+    answer = aClient.Send(request, kChatTime, [&](const QByteArray& aBytes) {
+      printer.Take(aBytes);
+    });
     if (printer.IsDone() || !MayTryAgain(answer, true)) {
       break;
     }
@@ -159,11 +174,13 @@
   ClientAnswer answer;
   for (int i = 0; i < kMaxTries; ++i) {
     net::HttpCallRequest request{ .mMethod = "POST",
-                                  .mUrl = QUrl(QString::fromStdString(entries[i % entries.size()] + aPath)),
+                                  .mUrl = QUrl(QString::fromStdString(
+                                    entries[i % entries.size()] + aPath)),
                                   .mHeaders = HeadersFor(aOptions, aTrace),
                                   .mBody = QByteArray::fromStdString(aBody) };
     if (!aOptions.mTicket.empty()) {
-      request.mHeaders.emplaceBack("Idempotency-Key", QByteArray::fromStdString(aOptions.mTicket));
+      request.mHeaders.emplaceBack("Idempotency-Key",
+                                   QByteArray::fromStdString(aOptions.mTicket));
     }
     answer = aClient.Send(request, kCallTime);
     // A ticket makes every copy of a request safe to send.
@@ -175,7 +192,9 @@
 }
 
 int
-PrintWhole(const ClientAnswer& aAnswer, const CommonOptions& aCommon, const tracing::TraceContext& aTrace)
+PrintWhole(const ClientAnswer& aAnswer,
+           const CommonOptions& aCommon,
+           const tracing::TraceContext& aTrace)
 {
   if (!aAnswer.mOutcome.mIsComplete || aAnswer.mOutcome.mStatus != 200) {
     return ReportFailure(aAnswer, aCommon.mIsJson);
@@ -194,12 +213,16 @@
 {
   Client client;
   const Json message{ { "role", "user" }, { "content", aOptions.mText } };
-  const Json body{ { "messages", Json::array({ message }) }, { "stream", !aOptions.mIsWhole } };
+  const Json body{ { "messages", Json::array({ message }) },
+                   { "stream", !aOptions.mIsWhole } };
   if (!aOptions.mIsWhole) {
     return StreamChat(client, aOptions, aCommon, body);
   }
   const tracing::TraceContext trace = NewTrace();
-  return PrintWhole(SendWhole(client, aOptions, "/v1/chat/completions", body.dump(), trace), aCommon, trace);
+  return PrintWhole(
+    SendWhole(client, aOptions, "/v1/chat/completions", body.dump(), trace),
+    aCommon,
+    trace);
 }
 
 int
@@ -210,8 +233,10 @@
   SendOptions options = aOptions;
   if (options.mTicket.empty()) {
     // With a ticket of its own the call can be sent again after a lost answer.
-    const ClientAnswer issued = SendWhole(client, options, "/v1/tickets/" + options.mKind, "{}", trace);
-    const Json json = Json::parse(issued.mAnswer.mBody.toStdString(), nullptr, false);
+    const ClientAnswer issued =
+      SendWhole(client, options, "/v1/tickets/" + options.mKind, "{}", trace);
+    const Json json =
+      Json::parse(issued.mAnswer.mBody.toStdString(), nullptr, false);
     if (issued.mOutcome.mStatus != 201 || !json.is_object()) {
       return ReportFailure(issued, aCommon.mIsJson);
     }
@@ -219,7 +244,10 @@
     std::cerr << "ticket: " << options.mTicket << std::endl;
   }
   return PrintWhole(
-    SendWhole(client, options, "/v1/calls/" + options.mKind, options.mText, trace), aCommon, trace);
+    SendWhole(
+      client, options, "/v1/calls/" + options.mKind, options.mText, trace),
+    aCommon,
+    trace);
 }
 
 int
@@ -227,7 +255,8 @@
 {
   Client client;
   const tracing::TraceContext trace = NewTrace();
-  return PrintWhole(SendWhole(client, aOptions, "/v1/outcomes", "{}", trace), aCommon, trace);
+  return PrintWhole(
+    SendWhole(client, aOptions, "/v1/outcomes", "{}", trace), aCommon, trace);
 }
 
 }
--- a/src/cli/internal/tableprinter.cpp
+++ b/src/cli/internal/tableprinter.cpp
@@ -18,7 +18,8 @@
   }
   for (const auto& row : aRows) {
     for (size_t i = 0; i < row.size(); ++i) {
-      std::cout << std::left << std::setw(static_cast<int>(widths[i]) + 2) << row[i];
+      std::cout << std::left << std::setw(static_cast<int>(widths[i]) + 2)
+                << row[i];
     }
     std::cout << std::endl;
   }
--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -10,7 +10,8 @@
 
 /** Kind of request that the chat interface carries. */
 inline constexpr char kChatKind[] = "chat";
-/** Workspace name of a route that serves every workspace without a route of its own. */
+/** Workspace name of a route that serves every workspace without a route of its
+ * own. */
 inline constexpr char kAnyWorkspace[] = "*";
 
 /** One row of the table of routes. */
@@ -27,7 +28,8 @@
   std::chrono::milliseconds mTimeout{ 60000 };
 };
 
-/** A back end: a rank of a model engine or a plain service, reached through its agent. */
+/** A back end: a rank of a model engine or a plain service, reached through its
+ * agent. */
 struct Endpoint
 {
   std::string mVm;
@@ -68,7 +70,8 @@
 
   bool IsOut(const std::string& aVm, const std::string& aAvailabilityZone) const
   {
-    return mOutVms.contains(aVm) || mOutAvailabilityZones.contains(aAvailabilityZone);
+    return mOutVms.contains(aVm) ||
+           mOutAvailabilityZones.contains(aAvailabilityZone);
   }
 };
 
--- a/src/configuration/internal/processsettings.cpp
+++ b/src/configuration/internal/processsettings.cpp
@@ -35,12 +35,21 @@
 
   const std::string& Role() const override { return mRole; }
   const std::string& VmName() const override { return mVm; }
-  const std::string& AvailabilityZone() const override { return mAvailabilityZone; }
+  const std::string& AvailabilityZone() const override
+  {
+    return mAvailabilityZone;
+  }
   const std::string& PeerAddress() const override { return mPeerAddress; }
-  const std::string& OperatorAddress() const override { return mOperatorAddress; }
+  const std::string& OperatorAddress() const override
+  {
+    return mOperatorAddress;
+  }
   const std::string& CallerAddress() const override { return mCallerAddress; }
   const std::string& BackEnd() const override { return mBackEnd; }
-  const std::vector<std::string>& Platform() const override { return mPlatform; }
+  const std::vector<std::string>& Platform() const override
+  {
+    return mPlatform;
+  }
   const std::vector<std::string>& Seeds() const override { return mSeeds; }
   const std::string& Collector() const override { return mCollector; }
   const std::string& LogLevel() const override { return mLogLevel; }
@@ -54,7 +63,8 @@
     mLimits.mConnections = aJson.value("connections", mLimits.mConnections);
     mLimits.mStreamBytes = aJson.value("streamBytes", mLimits.mStreamBytes);
     mLimits.mHeldBytes = aJson.value("heldBytes", mLimits.mHeldBytes);
-    mLimits.mQueuedRequests = aJson.value("queuedRequests", mLimits.mQueuedRequests);
+    mLimits.mQueuedRequests =
+      aJson.value("queuedRequests", mLimits.mQueuedRequests);
   }
 
   std::string mRole;
@@ -75,13 +85,16 @@
 CheckRole(const IProcessSettings& aSettings, const std::string& aSource)
 {
   if (aSettings.Role() == "entry" && aSettings.CallerAddress().empty()) {
-    return Fail(ErrorKind::InvalidConfiguration, aSource + ": callerAddress: an entry needs it");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": callerAddress: an entry needs it");
   }
   if (aSettings.Role() == "agent" && aSettings.BackEnd().empty()) {
-    return Fail(ErrorKind::InvalidConfiguration, aSource + ": backEnd: an agent needs it");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": backEnd: an agent needs it");
   }
   if (aSettings.Platform().empty() && aSettings.Seeds().empty()) {
-    return Fail(ErrorKind::InvalidConfiguration, aSource + ": platform: this or seeds must name an address");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": platform: this or seeds must name an address");
   }
   return {};
 }
@@ -95,7 +108,8 @@
   BOOST_LEAF_CHECK(settings::CheckSchema(json, schemas::kSettings, aSource));
   const auto settings = std::make_shared<ProcessSettings>(json);
   BOOST_LEAF_CHECK(CheckRole(*settings, aSource));
-  for (const std::string& address : { settings->PeerAddress(), settings->OperatorAddress() }) {
+  for (const std::string& address :
+       { settings->PeerAddress(), settings->OperatorAddress() }) {
     BOOST_LEAF_CHECK(ParseAddress(address));
   }
   return std::shared_ptr<IProcessSettings>(settings);
@@ -112,7 +126,8 @@
   const char* const end = aText.data() + aText.size();
   const auto [last, ec] = std::from_chars(aText.data() + colon + 1, end, port);
   if (ec != std::errc() || last != end || port < 1 || port > 65535) {
-    return Fail(ErrorKind::InvalidConfiguration, aText + ": its port is not between 1 and 65535");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aText + ": its port is not between 1 and 65535");
   }
   return SocketAddress{ aText.substr(0, colon), static_cast<uint16_t>(port) };
 }
--- a/src/configuration/internal/tableparser.cpp
+++ b/src/configuration/internal/tableparser.cpp
@@ -16,11 +16,17 @@
 using EntryMap = std::map<std::string, spread::Change>;
 
 Result<void>
-Add(EntryMap& aEntries, const Document& aDocument, const std::string& aKey, const Json& aValue)
+Add(EntryMap& aEntries,
+    const Document& aDocument,
+    const std::string& aKey,
+    const Json& aValue)
 {
-  const spread::Change change{ aKey, aValue.dump(), aDocument.mRevision, false };
+  const spread::Change change{
+    aKey, aValue.dump(), aDocument.mRevision, false
+  };
   if (!aEntries.emplace(aKey, change).second) {
-    return Fail(ErrorKind::InvalidConfiguration, aDocument.mName + ": " + aKey + " stands twice");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aDocument.mName + ": " + aKey + " stands twice");
   }
   return {};
 }
@@ -28,9 +34,11 @@
 Result<void>
 AddRoutes(EntryMap& aEntries, const Document& aDocument, const Json& aJson)
 {
-  BOOST_LEAF_CHECK(settings::CheckSchema(aJson, schemas::kRoutes, aDocument.mName));
+  BOOST_LEAF_CHECK(
+    settings::CheckSchema(aJson, schemas::kRoutes, aDocument.mName));
   for (const Json& row : aJson["routes"]) {
-    const std::string key = kRoutePrefix + row["workspace"].get<std::string>() + "/" + row["kind"].get<std::string>();
+    const std::string key = kRoutePrefix + row["workspace"].get<std::string>() +
+                            "/" + row["kind"].get<std::string>();
     BOOST_LEAF_CHECK(Add(aEntries, aDocument, key, row));
   }
   return {};
@@ -39,9 +47,11 @@
 Result<void>
 AddPools(EntryMap& aEntries, const Document& aDocument, const Json& aJson)
 {
-  BOOST_LEAF_CHECK(settings::CheckSchema(aJson, schemas::kPools, aDocument.mName));
+  BOOST_LEAF_CHECK(
+    settings::CheckSchema(aJson, schemas::kPools, aDocument.mName));
   for (const Json& row : aJson["pools"]) {
-    BOOST_LEAF_CHECK(Add(aEntries, aDocument, kPoolPrefix + row["name"].get<std::string>(), row));
+    BOOST_LEAF_CHECK(Add(
+      aEntries, aDocument, kPoolPrefix + row["name"].get<std::string>(), row));
   }
   return {};
 }
@@ -49,9 +59,11 @@
 Result<void>
 AddService(EntryMap& aEntries, const Document& aDocument, const Json& aJson)
 {
-  BOOST_LEAF_CHECK(settings::CheckSchema(aJson, schemas::kService, aDocument.mName));
+  BOOST_LEAF_CHECK(
+    settings::CheckSchema(aJson, schemas::kService, aDocument.mName));
   const Json& out = aJson["out"];
-  for (const std::string& zone : out.value("availabilityZones", std::set<std::string>())) {
+  for (const std::string& zone :
+       out.value("availabilityZones", std::set<std::string>())) {
     BOOST_LEAF_CHECK(Add(aEntries, aDocument, kOutZonePrefix + zone, true));
   }
   for (const std::string& vm : out.value("vms", std::set<std::string>())) {
@@ -64,7 +76,8 @@
 AddDocument(EntryMap& aEntries, const Document& aDocument)
 {
   BOOST_LEAF_AUTO(json, settings::ParseJson(aDocument.mText, aDocument.mName));
-  const std::string table = aDocument.mName.substr(0, aDocument.mName.find('/'));
+  const std::string table =
+    aDocument.mName.substr(0, aDocument.mName.find('/'));
   if (table == "routes") {
     return AddRoutes(aEntries, aDocument, json);
   }
@@ -74,7 +87,8 @@
   if (table == "service") {
     return AddService(aEntries, aDocument, json);
   }
-  return Fail(ErrorKind::InvalidConfiguration, aDocument.mName + ": is neither routes, pools nor service");
+  return Fail(ErrorKind::InvalidConfiguration,
+              aDocument.mName + ": is neither routes, pools nor service");
 }
 
 Result<void>
@@ -83,13 +97,16 @@
   const Route route = RouteFromJson(Json::parse(aEntry.mValue));
   const auto it = aEntries.find(kPoolPrefix + route.mPool);
   if (it == aEntries.end()) {
-    return Fail(ErrorKind::InvalidConfiguration, aEntry.mKey + ": names pool " + route.mPool + ", which is not there");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aEntry.mKey + ": names pool " + route.mPool +
+                  ", which is not there");
   }
   const Pool pool = PoolFromJson(Json::parse(it->second.mValue));
   const bool isChat = route.mKind == kChatKind;
   if (isChat != (pool.mType == PoolType::Model)) {
     return Fail(ErrorKind::InvalidConfiguration,
-                aEntry.mKey + ": kind " + route.mKind + " does not fit the type of pool " + route.mPool);
+                aEntry.mKey + ": kind " + route.mKind +
+                  " does not fit the type of pool " + route.mPool);
   }
   return {};
 }
@@ -99,18 +116,23 @@
 {
   const Pool pool = PoolFromJson(Json::parse(aEntry.mValue));
   if (pool.mColdBears > pool.mBears) {
-    return Fail(ErrorKind::InvalidConfiguration, aEntry.mKey + ": coldBears is above bears");
+    return Fail(ErrorKind::InvalidConfiguration,
+                aEntry.mKey + ": coldBears is above bears");
   }
   std::set<std::string> addresses;
   std::set<std::pair<std::string, int>> ranks;
   for (const Endpoint& endpoint : pool.mEndpoints) {
     if (!addresses.insert(endpoint.mAddress).second) {
-      return Fail(ErrorKind::InvalidConfiguration, aEntry.mKey + ": address " + endpoint.mAddress + " stands twice");
+      return Fail(ErrorKind::InvalidConfiguration,
+                  aEntry.mKey + ": address " + endpoint.mAddress +
+                    " stands twice");
     }
-    const bool isRank = pool.mType == PoolType::Model && !endpoint.mGroup.empty();
+    const bool isRank =
+      pool.mType == PoolType::Model && !endpoint.mGroup.empty();
     if (isRank && !ranks.insert({ endpoint.mGroup, endpoint.mRank }).second) {
       return Fail(ErrorKind::InvalidConfiguration,
-                  aEntry.mKey + ": group " + endpoint.mGroup + " has rank " + std::to_string(endpoint.mRank) + " twice");
+                  aEntry.mKey + ": group " + endpoint.mGroup + " has rank " +
+                    std::to_string(endpoint.mRank) + " twice");
     }
   }
   return {};
@@ -166,7 +188,8 @@
   route.mIsIdempotent = aJson.value("idempotent", route.mIsIdempotent);
   route.mPriority = aJson.value("priority", route.mPriority);
   route.mWeight = aJson.value("weight", route.mWeight);
-  route.mTimeout = std::chrono::milliseconds(aJson.value("timeoutMilliseconds", route.mTimeout.count()));
+  route.mTimeout = std::chrono::milliseconds(
+    aJson.value("timeoutMilliseconds", route.mTimeout.count()));
   return route;
 }
 
--- a/src/configuration/internal/tables.cpp
+++ b/src/configuration/internal/tables.cpp
@@ -35,7 +35,8 @@
 }
 
 std::shared_ptr<const Tables>
-Tables::With(const std::vector<spread::Change>& aChanges, uint64_t aRevision) const
+Tables::With(const std::vector<spread::Change>& aChanges,
+             uint64_t aRevision) const
 {
   auto next = std::make_shared<Tables>(*this);
   next->mRevision = aRevision;
@@ -48,7 +49,8 @@
 Tables::RoutePointer
 Tables::FindRoute(const std::string& aWorkspace, const std::string& aKind) const
 {
-  if (const auto it = mRoutes.find(RouteKey(aWorkspace, aKind)); it != mRoutes.end()) {
+  if (const auto it = mRoutes.find(RouteKey(aWorkspace, aKind));
+      it != mRoutes.end()) {
     return it->second;
   }
   const auto it = mRoutes.find(RouteKey(kAnyWorkspace, aKind));
@@ -70,13 +72,15 @@
     if (aChange.mIsDeleted) {
       mRoutes.erase(key);
     } else {
-      mRoutes[key] = std::make_shared<Route>(RouteFromJson(settings::Json::parse(aChange.mValue)));
+      mRoutes[key] = std::make_shared<Route>(
+        RouteFromJson(settings::Json::parse(aChange.mValue)));
     }
   } else if (TakePrefix(key, kPoolPrefix)) {
     if (aChange.mIsDeleted) {
       mPools.erase(key);
     } else {
-      mPools[key] = std::make_shared<Pool>(PoolFromJson(settings::Json::parse(aChange.mValue)));
+      mPools[key] = std::make_shared<Pool>(
+        PoolFromJson(settings::Json::parse(aChange.mValue)));
     }
   } else {
     TakeService(aChange);
--- a/src/configuration/internal/vmlist.cpp
+++ b/src/configuration/internal/vmlist.cpp
@@ -15,7 +15,8 @@
                    { "callerAddress", aVm.mCallerAddress },
                    { "peerAddress", aVm.mPeerAddress },
                    { "operatorAddress", aVm.mOperatorAddress },
-                   { "state", aVm.mState == VmState::Leaving ? "leaving" : "live" } };
+                   { "state",
+                     aVm.mState == VmState::Leaving ? "leaving" : "live" } };
   return { aVm.mName, json.dump(), aRevision, false };
 }
 
@@ -29,11 +30,13 @@
            .mCallerAddress = json["callerAddress"],
            .mPeerAddress = json["peerAddress"],
            .mOperatorAddress = json["operatorAddress"],
-           .mState = json["state"] == "leaving" ? VmState::Leaving : VmState::Live };
+           .mState =
+             json["state"] == "leaving" ? VmState::Leaving : VmState::Live };
 }
 
 std::shared_ptr<const VmList>
-VmList::With(const std::vector<spread::Change>& aChanges, uint64_t aRevision) const
+VmList::With(const std::vector<spread::Change>& aChanges,
+             uint64_t aRevision) const
 {
   auto next = std::make_shared<VmList>(*this);
   next->mRevision = aRevision;
--- a/src/configuration/processsettings.h
+++ b/src/configuration/processsettings.h
@@ -47,7 +47,8 @@
   virtual const ProcessLimits& Limits() const = 0;
 };
 
-/** Reads settings from JSON with comments. Error: InvalidConfiguration with key and reason. */
+/** Reads settings from JSON with comments. Error: InvalidConfiguration with key
+ * and reason. */
 global::Result<std::shared_ptr<IProcessSettings>>
 ParseSettings(const std::string& aText, const std::string& aSource);
 
--- a/src/configuration/tableparser.h
+++ b/src/configuration/tableparser.h
@@ -13,7 +13,8 @@
 /** A published document: one part of a table. */
 struct Document
 {
-  /** Name below the published folder; its first part is routes, pools or service. */
+  /** Name below the published folder; its first part is routes, pools or
+   * service. */
   std::string mName;
   std::string mText;
   /** Revision of the platform at which the document was last written. */
@@ -27,9 +28,9 @@
 inline constexpr char kOutVmPrefix[] = "out/vm/";
 
 /**
- * Checks all documents together and turns them into entries. The result depends on
- * the content alone, so that every process comes to the same verdict.
- * Error: InvalidConfiguration with the document, the place and the reason.
+ * Checks all documents together and turns them into entries. The result depends
+ * on the content alone, so that every process comes to the same verdict. Error:
+ * InvalidConfiguration with the document, the place and the reason.
  */
 global::Result<std::vector<spread::Change>>
 ParseDocuments(const std::vector<Document>& aDocuments);
--- a/src/configuration/tables.h
+++ b/src/configuration/tables.h
@@ -9,7 +9,8 @@
 
 namespace beryllever::configuration {
 
-/** The accepted tables at one revision. Immutable; a change makes a new object that shares unchanged rows. */
+/** The accepted tables at one revision. Immutable; a change makes a new object
+ * that shares unchanged rows. */
 class Tables
 {
 public:
@@ -17,14 +18,21 @@
   using PoolPointer = std::shared_ptr<const Pool>;
 
   /** Tables that differ from these by the given changes. */
-  std::shared_ptr<const Tables> With(const std::vector<spread::Change>& aChanges, uint64_t aRevision) const;
+  std::shared_ptr<const Tables> With(
+    const std::vector<spread::Change>& aChanges,
+    uint64_t aRevision) const;
 
   uint64_t Revision() const { return mRevision; }
-  /** Route of a workspace and kind, or the route of any workspace; null if there is none. */
-  RoutePointer FindRoute(const std::string& aWorkspace, const std::string& aKind) const;
+  /** Route of a workspace and kind, or the route of any workspace; null if
+   * there is none. */
+  RoutePointer FindRoute(const std::string& aWorkspace,
+                         const std::string& aKind) const;
   PoolPointer FindPool(const std::string& aName) const;
   const ServiceState& Service() const { return mService; }
-  const std::unordered_map<std::string, PoolPointer>& Pools() const { return mPools; }
+  const std::unordered_map<std::string, PoolPointer>& Pools() const
+  {
+    return mPools;
+  }
   size_t RouteCount() const { return mRoutes.size(); }
 
 private:
--- a/src/configuration/tests/processsettingstest.cpp
+++ b/src/configuration/tests/processsettingstest.cpp
@@ -31,14 +31,16 @@
 
 TEST(ProcessSettings, WholeSettingsAreAccepted)
 {
-  const auto verdict = Verdict(Settings(R"(,"callerAddress":"127.0.0.1:3","seeds":["127.0.0.1:4"] /* more */)"));
+  const auto verdict = Verdict(Settings(
+    R"(,"callerAddress":"127.0.0.1:3","seeds":["127.0.0.1:4"] /* more */)"));
 
   CHECK_EQUAL(std::string("accepted entry"), verdict);
 }
 
 TEST(ProcessSettings, AMissingAddressIsNamed)
 {
-  CHECK_EQUAL(std::string("s.json: callerAddress: an entry needs it"), Verdict(Settings("")));
+  CHECK_EQUAL(std::string("s.json: callerAddress: an entry needs it"),
+              Verdict(Settings("")));
 }
 
 TEST(ProcessSettings, ANameInPlaceOfAnIpNumberIsRefused)
--- a/src/configuration/tests/tableparsertest.cpp
+++ b/src/configuration/tests/tableparsertest.cpp
@@ -39,28 +39,34 @@
 
 TEST(TableParser, JoinedTablesAreAccepted)
 {
-  const auto verdict = Verdict({ kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})") });
+  const auto verdict = Verdict(
+    { kPools,
+      Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})") });
 
   CHECK_EQUAL(std::string("accepted 3"), verdict);
 }
 
 TEST(TableParser, ARouteToAMissingPoolIsRefusedByName)
 {
-  const auto verdict = Verdict({ kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"none"})") });
+  const auto verdict = Verdict(
+    { kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"none"})") });
 
   CHECK(verdict.find("route/gas/chat: names pool none") == 0);
 }
 
 TEST(TableParser, AChatRouteToAServiceIsRefused)
 {
-  const auto verdict = Verdict({ kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"rota"})") });
+  const auto verdict = Verdict(
+    { kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"rota"})") });
 
   CHECK(verdict.find("does not fit the type") != std::string::npos);
 }
 
 TEST(TableParser, AnUnknownKeyIsRefusedWithItsPlace)
 {
-  const auto verdict = Verdict({ kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"experts","x":1})") });
+  const auto verdict = Verdict(
+    { kPools,
+      Routes(R"({"workspace":"gas","kind":"chat","pool":"experts","x":1})") });
 
   CHECK(verdict.find("routes: ") == 0);
   CHECK(verdict.find("[routes][0]") != std::string::npos);
@@ -68,17 +74,22 @@
 
 TEST(TableParser, TheSameRouteInTwoPartsIsRefused)
 {
-  Document second = Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})");
+  Document second =
+    Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})");
   second.mName = "routes/2";
 
-  const auto verdict = Verdict({ kPools, Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})"), second });
+  const auto verdict =
+    Verdict({ kPools,
+              Routes(R"({"workspace":"gas","kind":"chat","pool":"experts"})"),
+              second });
 
   CHECK_EQUAL(std::string("routes/2: route/gas/chat stands twice"), verdict);
 }
 
 TEST(TableParser, ChangesBuildNewTablesAndLeaveTheOldOnes)
 {
-  auto entries = configuration::ParseDocuments({ kPools, { "service", R"({"out":{"availabilityZones":["a"]}})", 7 } });
+  auto entries = configuration::ParseDocuments(
+    { kPools, { "service", R"({"out":{"availabilityZones":["a"]}})", 7 } });
   const auto first = configuration::Tables().With(entries.value(), 7);
 
   const auto second = first->With({ { "out/zone/a", "", 9, true } }, 9);
--- a/src/configuration/vmlist.h
+++ b/src/configuration/vmlist.h
@@ -18,7 +18,9 @@
 class VmList
 {
 public:
-  std::shared_ptr<const VmList> With(const std::vector<spread::Change>& aChanges, uint64_t aRevision) const;
+  std::shared_ptr<const VmList> With(
+    const std::vector<spread::Change>& aChanges,
+    uint64_t aRevision) const;
 
   uint64_t Revision() const { return mRevision; }
   const std::map<std::string, Vm>& Vms() const { return mVms; }
--- a/src/credits/creditledger.h
+++ b/src/credits/creditledger.h
@@ -17,9 +17,9 @@
 };
 
 /**
- * Slots of one endpoint, shared between entries by leases. The leased slots and the
- * running requests never add up to more than the capacity at the time of the lease,
- * and no request is let in above the capacity of this moment.
+ * Slots of one endpoint, shared between entries by leases. The leased slots and
+ * the running requests never add up to more than the capacity at the time of
+ * the lease, and no request is let in above the capacity of this moment.
  */
 class CreditLedger
 {
@@ -33,7 +33,8 @@
   /** Decides about a request of an entry; an admitted one must be released. */
   Admission Admit(const std::string& aEntry);
   void Release(const std::string& aEntry);
-  /** Gives back the lease of an entry whose connection is known to be closed. */
+  /** Gives back the lease of an entry whose connection is known to be closed.
+   */
   void Drop(const std::string& aEntry);
 
   Slots Capacity() const { return mCapacity; }
--- a/src/credits/creditwallet.h
+++ b/src/credits/creditwallet.h
@@ -26,7 +26,10 @@
   explicit CreditWallet(const global::IClock& aClock);
 
   /** Takes a lease. It ends here earlier than at its giver. */
-  void TakeLease(const std::string& aEndpoint, const Lease& aLease, Slots aUnleased, Slots aBears);
+  void TakeLease(const std::string& aEndpoint,
+                 const Lease& aLease,
+                 Slots aUnleased,
+                 Slots aBears);
   /** Forgets an endpoint's lease, for instance when its connection is lost. */
   void Forget(const std::string& aEndpoint);
   /** Forgets all leases; requests in flight stay counted. */
--- a/src/credits/internal/creditledger.cpp
+++ b/src/credits/internal/creditledger.cpp
@@ -109,9 +109,12 @@
 Slots
 CreditLedger::FairShare() const
 {
-  const auto active = std::count_if(
-    mHolders.begin(), mHolders.end(), [](const auto& entry) { return entry.second.mWanted > 0; });
-  return std::max<Slots>(1, mCapacity / std::max<Slots>(1, static_cast<Slots>(active)));
+  const auto active =
+    std::count_if(mHolders.begin(), mHolders.end(), [](const auto& entry) {
+      return entry.second.mWanted > 0;
+    });
+  return std::max<Slots>(
+    1, mCapacity / std::max<Slots>(1, static_cast<Slots>(active)));
 }
 
 }
--- a/src/credits/internal/creditwallet.cpp
+++ b/src/credits/internal/creditwallet.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Covers clock rates and the way of the message, so that no entry holds on longer than the giver. */
+/** Covers clock rates and the way of the message, so that no entry holds on
+ * longer than the giver. */
 constexpr std::chrono::milliseconds kEarlyEnd{ 500 };
 
 }
@@ -17,7 +18,10 @@
 }
 
 void
-CreditWallet::TakeLease(const std::string& aEndpoint, const Lease& aLease, Slots aUnleased, Slots aBears)
+CreditWallet::TakeLease(const std::string& aEndpoint,
+                        const Lease& aLease,
+                        Slots aUnleased,
+                        Slots aBears)
 {
   WalletState& state = mStates[aEndpoint];
   state.mLease = { aLease.mSlots, aLease.mDeadline - kEarlyEnd };
--- a/src/credits/internal/endpointcapacity.cpp
+++ b/src/credits/internal/endpointcapacity.cpp
@@ -15,7 +15,8 @@
 
 }
 
-EndpointCapacity::EndpointCapacity(const global::IClock& aClock, CapacityBounds aBounds)
+EndpointCapacity::EndpointCapacity(const global::IClock& aClock,
+                                   CapacityBounds aBounds)
   : mClock(aClock)
   , mBounds(aBounds)
   , mBears(aBounds.mCold)
@@ -26,7 +27,8 @@
 EndpointCapacity::SetBounds(CapacityBounds aBounds)
 {
   mBounds = aBounds;
-  mBears = std::clamp(mBears, std::min(aBounds.mCold, aBounds.mWarm), aBounds.mWarm);
+  mBears =
+    std::clamp(mBears, std::min(aBounds.mCold, aBounds.mWarm), aBounds.mWarm);
 }
 
 void
@@ -52,14 +54,17 @@
 EndpointCapacity::TakeCompletion(std::chrono::microseconds aFirstByte)
 {
   const bool hasUsual = mUsualFirstByte.count() > 0;
-  if (hasUsual && aFirstByte > std::max(mUsualFirstByte * kSlowFactor, kSlowFloor)) {
+  if (hasUsual &&
+      aFirstByte > std::max(mUsualFirstByte * kSlowFactor, kSlowFloor)) {
     if (++mSlowCompletions >= kSlowCompletionsForCut) {
       Halve();
     }
     return;
   }
   mSlowCompletions = 0;
-  mUsualFirstByte = hasUsual ? mUsualFirstByte + (aFirstByte - mUsualFirstByte) / kSmoothing : aFirstByte;
+  mUsualFirstByte =
+    hasUsual ? mUsualFirstByte + (aFirstByte - mUsualFirstByte) / kSmoothing
+             : aFirstByte;
   if (++mCompletions >= mBears) {
     mCompletions = 0;
     mBears = std::min(mBears * 2, mBounds.mWarm);
@@ -97,7 +102,8 @@
 bool
 EndpointCapacity::IsCacheLost(int64_t aEntries) const
 {
-  return aEntries >= 0 && mCacheEntries >= kCacheEntriesThatCount && aEntries * 2 < mCacheEntries;
+  return aEntries >= 0 && mCacheEntries >= kCacheEntriesThatCount &&
+         aEntries * 2 < mCacheEntries;
 }
 
 }
--- a/src/credits/tests/creditledgertest.cpp
+++ b/src/credits/tests/creditledgertest.cpp
@@ -66,8 +66,8 @@
   CHECK(ledger.Admit("a") == Admission::Full);
 }
 
-// Hundreds of entries with leases, dead entries and a capacity that jumps: what runs never
-// passes the capacity at the time when a request is let in.
+// Hundreds of entries with leases, dead entries and a capacity that jumps: what
+// runs never passes the capacity at the time when a request is let in.
 TEST(CreditLedger, NoMixOfEntriesAddsUpToAnOverload)
 {
   for (unsigned seed = 1; seed <= 50; ++seed) {
@@ -89,8 +89,11 @@
           }
           break;
         case 3: {
-          const auto lease = ledger.Renew(entry, { 0, static_cast<int>(random() % 10) });
-          CHECK(lease.mSlots == 0 || ledger.Committed() <= std::max(ledger.Capacity(), ledger.Running() + lease.mSlots));
+          const auto lease =
+            ledger.Renew(entry, { 0, static_cast<int>(random() % 10) });
+          CHECK(lease.mSlots == 0 ||
+                ledger.Committed() <=
+                  std::max(ledger.Capacity(), ledger.Running() + lease.mSlots));
           break;
         }
         default:
--- a/src/distribution/configurationnode.h
+++ b/src/distribution/configurationnode.h
@@ -31,9 +31,9 @@
 };
 
 /**
- * Keeps the configuration of one process: watches the platform if it is one of the
- * few that do, follows peers, and passes changes on to followers.
- * Lives on the control thread; the current values may be read from any thread.
+ * Keeps the configuration of one process: watches the platform if it is one of
+ * the few that do, follows peers, and passes changes on to followers. Lives on
+ * the control thread; the current values may be read from any thread.
  */
 class ConfigurationNode : public configuration::IConfiguration
 {
@@ -46,7 +46,8 @@
   void Start();
   /** The process leaves service for good. */
   void SetLeaving();
-  void AddFollower(const v1::FollowRequest& aRequest, const std::shared_ptr<FollowStream>& aStream);
+  void AddFollower(const v1::FollowRequest& aRequest,
+                   const std::shared_ptr<FollowStream>& aStream);
   DistributionStatus Status() const;
 
   std::shared_ptr<const configuration::Tables> CurrentTables() const override;
@@ -74,7 +75,8 @@
   void Tick();
   void ChooseSources();
   std::vector<spread::Candidate> LiveEntries() const;
-  std::vector<std::string> SourceAddresses(const std::vector<spread::Candidate>& aCandidates) const;
+  std::vector<std::string> SourceAddresses(
+    const std::vector<spread::Candidate>& aCandidates) const;
   v1::FollowRequest MakeFollowRequest() const;
   std::chrono::milliseconds PlatformAge() const;
 
--- a/src/distribution/followclient.h
+++ b/src/distribution/followclient.h
@@ -12,14 +12,18 @@
 
 namespace beryllever::distribution {
 
-/** Follows one peer: takes its changes and replaces a connection that has gone silent. */
+/** Follows one peer: takes its changes and replaces a connection that has gone
+ * silent. */
 class FollowClient
 {
 public:
   using OnUpdate = std::function<void(const v1::FollowUpdate&)>;
   using MakeRequest = std::function<v1::FollowRequest()>;
 
-  FollowClient(const global::IClock& aClock, std::string aAddress, MakeRequest aMakeRequest, OnUpdate aOnUpdate);
+  FollowClient(const global::IClock& aClock,
+               std::string aAddress,
+               MakeRequest aMakeRequest,
+               OnUpdate aOnUpdate);
   ~FollowClient();
 
   const std::string& Address() const { return mAddress; }
--- a/src/distribution/internal/configurationnode.cpp
+++ b/src/distribution/internal/configurationnode.cpp
@@ -12,7 +12,8 @@
 constexpr char kLogTag[] = "distribution";
 constexpr std::chrono::milliseconds kTick{ 250 };
 constexpr std::chrono::milliseconds kHeartbeatInterval{ 1000 };
-/** Sources count as cut off from the platform after this time without news of it. */
+/** Sources count as cut off from the platform after this time without news of
+ * it. */
 constexpr std::chrono::milliseconds kPlatformSilence{ 10000 };
 constexpr std::chrono::milliseconds kDirectReadInterval{ 10000 };
 constexpr size_t kWatchersPerZone = 2;
@@ -20,10 +21,11 @@
 
 }
 
-ConfigurationNode::ConfigurationNode(const global::IClock& aClock,
-                                     std::shared_ptr<configuration::IProcessSettings> aSettings,
-                                     std::shared_ptr<platform::IPlatform> aPlatform,
-                                     metrics::Metrics& aMetrics)
+ConfigurationNode::ConfigurationNode(
+  const global::IClock& aClock,
+  std::shared_ptr<configuration::IProcessSettings> aSettings,
+  std::shared_ptr<platform::IPlatform> aPlatform,
+  metrics::Metrics& aMetrics)
   : mClock(aClock)
   , mSettings(std::move(aSettings))
   , mPlatform(std::move(aPlatform))
@@ -39,8 +41,11 @@
 ConfigurationNode::Start()
 {
   mPlatform->SetOnContact([this] { mPlatformHeardAt = mClock.Now(); });
-  mPlatform->SetOnDocuments([this](platform::DocumentSnapshot aSnapshot) { TakeDocuments(std::move(aSnapshot)); });
-  mPlatform->SetOnVms([this](const platform::VmSnapshot& aSnapshot) { TakeVms(aSnapshot); });
+  mPlatform->SetOnDocuments([this](platform::DocumentSnapshot aSnapshot) {
+    TakeDocuments(std::move(aSnapshot));
+  });
+  mPlatform->SetOnVms(
+    [this](const platform::VmSnapshot& aSnapshot) { TakeVms(aSnapshot); });
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
   mTimer.start(kTick);
   mPlatform->ReadOnce();
@@ -55,11 +60,15 @@
 }
 
 void
-ConfigurationNode::AddFollower(const v1::FollowRequest& aRequest, const std::shared_ptr<FollowStream>& aStream)
+ConfigurationNode::AddFollower(const v1::FollowRequest& aRequest,
+                               const std::shared_ptr<FollowStream>& aStream)
 {
-  mFollowers.push_back({ aStream, aRequest.tables_revision(), aRequest.vms_revision() });
+  mFollowers.push_back(
+    { aStream, aRequest.tables_revision(), aRequest.vms_revision() });
   aStream->SetOnGone([this, stream = aStream.get()] {
-    mFollowers.remove_if([&](const Follower& follower) { return follower.mStream.get() == stream; });
+    mFollowers.remove_if([&](const Follower& follower) {
+      return follower.mStream.get() == stream;
+    });
   });
   SendChanges(mFollowers.back());
   mNextHeartbeat = mClock.Now();
@@ -104,7 +113,8 @@
 ConfigurationNode::IsSelfOut() const
 {
   return mIsLeaving || CurrentVms()->IsLeaving(mSettings->VmName()) ||
-         CurrentTables()->Service().IsOut(mSettings->VmName(), mSettings->AvailabilityZone());
+         CurrentTables()->Service().IsOut(mSettings->VmName(),
+                                          mSettings->AvailabilityZone());
 }
 
 void
@@ -122,7 +132,8 @@
   }
   global::Resolve(
     [&]() -> global::Result<void> {
-      BOOST_LEAF_AUTO(entries, configuration::ParseDocuments(aSnapshot.mDocuments));
+      BOOST_LEAF_AUTO(entries,
+                      configuration::ParseDocuments(aSnapshot.mDocuments));
       mRefusal.clear();
       PublishTables(mTablesStore.TakeSnapshot(entries, aSnapshot.mRevision));
       return {};
@@ -130,9 +141,9 @@
     [&](const global::Error& aError) {
       mRefusal = aError.mMessage;
       mMetrics.Count("beryllever_tables_refused_total");
-      LOGE("Published tables are refused; revision in force stays. refused=" << aSnapshot.mRevision
-                                                                              << " inForce=" << mTablesStore.Revision()
-                                                                              << " reason=" << aError.mMessage);
+      LOGE("Published tables are refused; revision in force stays. refused="
+           << aSnapshot.mRevision << " inForce=" << mTablesStore.Revision()
+           << " reason=" << aError.mMessage);
     });
 }
 
@@ -159,7 +170,8 @@
   }
   mGate.TakePeerAnswer();
   const v1::Heartbeat& heartbeat = aUpdate.heartbeat();
-  const auto heardAt = mClock.Now() - std::chrono::milliseconds(heartbeat.platform_age_ms());
+  const auto heardAt =
+    mClock.Now() - std::chrono::milliseconds(heartbeat.platform_age_ms());
   mPlatformHeardAt = std::max(mPlatformHeardAt, heardAt);
 }
 
@@ -168,10 +180,13 @@
 {
   const bool isTables = aBatch.domain() == v1::DOMAIN_TABLES;
   spread::RevisionStore& store = isTables ? mTablesStore : mVmsStore;
-  const spread::Application application = store.Apply(transport::FromMessage(aBatch));
-  if (application.mVerdict == spread::Verdict::Diverged || application.mVerdict == spread::Verdict::Gap) {
+  const spread::Application application =
+    store.Apply(transport::FromMessage(aBatch));
+  if (application.mVerdict == spread::Verdict::Diverged ||
+      application.mVerdict == spread::Verdict::Gap) {
     mMetrics.Count("beryllever_spread_mismatches_total");
-    LOGW("A change from a peer does not fit; the platform is read. from=" << aBatch.from() << " to=" << aBatch.to());
+    LOGW("A change from a peer does not fit; the platform is read. from="
+         << aBatch.from() << " to=" << aBatch.to());
     mPlatform->ReadOnce();
     return;
   }
@@ -184,13 +199,17 @@
   if (aApplication.mVerdict != spread::Verdict::Applied) {
     return;
   }
-  auto next = CurrentTables()->With(aApplication.mEffective, mTablesStore.Revision());
+  auto next =
+    CurrentTables()->With(aApplication.mEffective, mTablesStore.Revision());
   {
     const std::lock_guard lock(mMutex);
     mTables = std::move(next);
   }
-  LOGI("Tables are in force. revision=" << mTablesStore.Revision() << " changes=" << aApplication.mEffective.size());
-  mMetrics.Set("beryllever_tables_revision", static_cast<double>(mTablesStore.Revision()));
+  LOGI("Tables are in force. revision=" << mTablesStore.Revision()
+                                        << " changes="
+                                        << aApplication.mEffective.size());
+  mMetrics.Set("beryllever_tables_revision",
+               static_cast<double>(mTablesStore.Revision()));
   NotifyChange();
 }
 
@@ -205,7 +224,8 @@
     const std::lock_guard lock(mMutex);
     mVms = std::move(next);
   }
-  LOGI("VM list is in force. revision=" << mVmsStore.Revision() << " vms=" << mVmsStore.Size());
+  LOGI("VM list is in force. revision=" << mVmsStore.Revision()
+                                        << " vms=" << mVmsStore.Size());
   ChooseSources();
   NotifyChange();
 }
@@ -224,12 +244,15 @@
 void
 ConfigurationNode::SendChanges(Follower& aFollower)
 {
-  const auto send = [&](const spread::RevisionStore& aStore, uint64_t& aSent, v1::Domain aDomain) {
+  const auto send = [&](const spread::RevisionStore& aStore,
+                        uint64_t& aSent,
+                        v1::Domain aDomain) {
     if (aStore.Revision() <= aSent) {
       return;
     }
     v1::FollowUpdate update;
-    *update.mutable_batch() = transport::ToMessage(aStore.ChangesSince(aSent), aDomain);
+    *update.mutable_batch() =
+      transport::ToMessage(aStore.ChangesSince(aSent), aDomain);
     aSent = aStore.Revision();
     aFollower.mStream->Push(std::move(update));
   };
@@ -252,7 +275,8 @@
     v1::FollowUpdate update;
     update.mutable_heartbeat()->set_tables_revision(mTablesStore.Revision());
     update.mutable_heartbeat()->set_vms_revision(mVmsStore.Revision());
-    update.mutable_heartbeat()->set_platform_age_ms(static_cast<uint32_t>(PlatformAge().count()));
+    update.mutable_heartbeat()->set_platform_age_ms(
+      static_cast<uint32_t>(PlatformAge().count()));
     for (Follower& follower : mFollowers) {
       // A follower that does not read gets no further heartbeats until it does.
       if (follower.mStream->Depth() == 0) {
@@ -273,9 +297,12 @@
   const auto entries = LiveEntries();
   const auto watchers = spread::SelectWatchers(entries, kWatchersPerZone);
   const bool isEntry = mSettings->Role() == "entry";
-  mIsWatcher = isEntry && std::any_of(watchers.begin(), watchers.end(), [&](const spread::Candidate& candidate) {
-    return candidate.mVm == mSettings->VmName();
-  });
+  mIsWatcher =
+    isEntry && std::any_of(watchers.begin(),
+                           watchers.end(),
+                           [&](const spread::Candidate& candidate) {
+                             return candidate.mVm == mSettings->VmName();
+                           });
   if (mIsWatcher) {
     mPlatform->StartWatching();
   } else {
@@ -283,19 +310,24 @@
   }
   const auto addresses = SourceAddresses(isEntry ? watchers : entries);
   mSources.remove_if([&](const auto& source) {
-    return std::find(addresses.begin(), addresses.end(), source->Address()) == addresses.end();
+    return std::find(addresses.begin(), addresses.end(), source->Address()) ==
+           addresses.end();
   });
   for (const std::string& address : addresses) {
-    const bool isFollowed = std::any_of(
-      mSources.begin(), mSources.end(), [&](const auto& source) { return source->Address() == address; });
+    const bool isFollowed =
+      std::any_of(mSources.begin(), mSources.end(), [&](const auto& source) {
+        return source->Address() == address;
+      });
     if (!isFollowed) {
       mSources.push_back(std::make_unique<FollowClient>(
         mClock,
         address,
         [this] { return MakeFollowRequest(); },
         [this](const v1::FollowUpdate& aUpdate) {
-          // Handling may replace the sources, so it runs outside of their callbacks.
-          transport::Post(&mTimer, [this, aUpdate] { TakePeerUpdate(aUpdate); });
+          // Handling may replace the sources, so it runs outside of their
+          // callbacks.
+          transport::Post(&mTimer,
+                          [this, aUpdate] { TakePeerUpdate(aUpdate); });
         }));
     }
   }
@@ -314,10 +346,12 @@
 }
 
 std::vector<std::string>
-ConfigurationNode::SourceAddresses(const std::vector<spread::Candidate>& aCandidates) const
+ConfigurationNode::SourceAddresses(
+  const std::vector<spread::Candidate>& aCandidates) const
 {
   std::vector<std::string> addresses;
-  for (const auto& source : spread::SelectSources(mSettings->VmName(), aCandidates, kSourceCount)) {
+  for (const auto& source :
+       spread::SelectSources(mSettings->VmName(), aCandidates, kSourceCount)) {
     addresses.push_back(source.mAddress);
   }
   if (!addresses.empty()) {
@@ -344,7 +378,8 @@
 std::chrono::milliseconds
 ConfigurationNode::PlatformAge() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(mClock.Now() - mPlatformHeardAt);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    mClock.Now() - mPlatformHeardAt);
 }
 
 }
--- a/src/distribution/internal/followclient.cpp
+++ b/src/distribution/internal/followclient.cpp
@@ -59,7 +59,9 @@
     QCoreApplication::instance(),
     mMakeRequest(),
     std::chrono::system_clock::now() + kCallTime,
-    [this](grpc::ClientContext* aContext, const v1::FollowRequest* aRequest, auto* aReactor) {
+    [this](grpc::ClientContext* aContext,
+           const v1::FollowRequest* aRequest,
+           auto* aReactor) {
       mStub->async()->Follow(aContext, aRequest, aReactor);
     },
     [this, alive, attempt](const v1::FollowUpdate& aUpdate) {
@@ -92,7 +94,8 @@
     return;
   }
   if (mCall) {
-    LOGW("A followed peer is silent; its connection is replaced. peer=" << mAddress);
+    LOGW("A followed peer is silent; its connection is replaced. peer="
+         << mAddress);
   }
   Restart();
 }
--- a/src/distribution/internal/peerservice.cpp
+++ b/src/distribution/internal/peerservice.cpp
@@ -9,10 +9,13 @@
 }
 
 grpc::ServerWriteReactor<v1::FollowUpdate>*
-PeerService::Follow(grpc::CallbackServerContext*, const v1::FollowRequest* aRequest)
+PeerService::Follow(grpc::CallbackServerContext*,
+                    const v1::FollowRequest* aRequest)
 {
   const auto stream = FollowStream::Make(mContext);
-  transport::Post(mContext, [this, request = *aRequest, stream] { mOnFollow(request, stream); });
+  transport::Post(mContext, [this, request = *aRequest, stream] {
+    mOnFollow(request, stream);
+  });
   return stream.get();
 }
 
--- a/src/distribution/peerservice.h
+++ b/src/distribution/peerservice.h
@@ -15,12 +15,14 @@
 class PeerService : public v1::Peer::CallbackService
 {
 public:
-  using OnFollow = std::function<void(v1::FollowRequest, std::shared_ptr<FollowStream>)>;
+  using OnFollow =
+    std::function<void(v1::FollowRequest, std::shared_ptr<FollowStream>)>;
 
   PeerService(QObject* aContext, OnFollow aOnFollow);
 
-  grpc::ServerWriteReactor<v1::FollowUpdate>* Follow(grpc::CallbackServerContext* aContext,
-                                                     const v1::FollowRequest* aRequest) override;
+  grpc::ServerWriteReactor<v1::FollowUpdate>* Follow(
+    grpc::CallbackServerContext* aContext,
+    const v1::FollowRequest* aRequest) override;
 
 private:
   QObject* mContext;
--- a/src/distribution/snapshotgate.h
+++ b/src/distribution/snapshotgate.h
@@ -6,8 +6,8 @@
 
 /**
  * Holds back what a starting process has read from the platform until its peers
- * have been heard or a time limit has passed, so that a stale platform cannot put
- * an old revision in force here after a newer one is in force elsewhere.
+ * have been heard or a time limit has passed, so that a stale platform cannot
+ * put an old revision in force here after a newer one is in force elsewhere.
  */
 class SnapshotGate
 {
--- a/src/entry/entrymodule.cpp
+++ b/src/entry/entrymodule.cpp
@@ -13,12 +13,16 @@
 constexpr int kRank = 30;
 /** Largest share of the memory for callers that one workspace may use. */
 constexpr double kWorkspaceShare = 0.5;
-const kernel::ModuleRegistrar kRegistrar(kRank, [] { return std::make_unique<EntryModule>(); });
+const kernel::ModuleRegistrar kRegistrar(kRank, [] {
+  return std::make_unique<EntryModule>();
+});
 
 net::HttpLimits
 LimitsFrom(const configuration::ProcessLimits& aLimits)
 {
-  return { .mHeaderBytes = aLimits.mHeaderBytes, .mBodyBytes = aLimits.mBodyBytes, .mConnections = aLimits.mConnections };
+  return { .mHeaderBytes = aLimits.mHeaderBytes,
+           .mBodyBytes = aLimits.mBodyBytes,
+           .mConnections = aLimits.mConnections };
 }
 
 }
@@ -33,25 +37,31 @@
   const auto clock = aKernel.Get<global::IClock>();
   const auto configuration = aKernel.Get<configuration::IConfiguration>();
   const auto metrics = aKernel.Get<metrics::Metrics>();
-  mBudget = std::make_unique<streams::MemoryBudget>(settings->Limits().mHeldBytes, kWorkspaceShare);
+  mBudget = std::make_unique<streams::MemoryBudget>(
+    settings->Limits().mHeldBytes, kWorkspaceShare);
   mRouter = std::make_unique<Router>(*clock, settings, configuration, *metrics);
   mTrafficContext = new QObject;
   mTrafficContext->moveToThread(&mTraffic);
-  mContext = std::make_unique<SessionContext>(SessionContext{ *clock,
-                                                              settings,
-                                                              configuration,
-                                                              *metrics,
-                                                              *aKernel.Get<tracing::Tracer>(),
-                                                              *mRouter,
-                                                              *mBudget,
-                                                              mTrafficContext });
+  mContext = std::make_unique<SessionContext>(
+    SessionContext{ *clock,
+                    settings,
+                    configuration,
+                    *metrics,
+                    *aKernel.Get<tracing::Tracer>(),
+                    *mRouter,
+                    *mBudget,
+                    mTrafficContext });
   mInterface = std::make_unique<CallerInterface>(*mContext);
   const auto pages = aKernel.Get<operations::IOperatorPages>();
   pages->AddStatus("router", [this] { return mRouter->Status(); });
-  pages->AddStatus("memory", [this] { return settings::Json{ { "heldBytes", mBudget->HeldBytes() } }; });
-  pages->AddPage("/explain", [this](const operations::IOperatorPages::Query& aQuery) {
-    return mRouter->Explain(aQuery["workspace"].toStdString(), aQuery["kind"].toStdString());
+  pages->AddStatus("memory", [this] {
+    return settings::Json{ { "heldBytes", mBudget->HeldBytes() } };
   });
+  pages->AddPage("/explain",
+                 [this](const operations::IOperatorPages::Query& aQuery) {
+                   return mRouter->Explain(aQuery["workspace"].toStdString(),
+                                           aQuery["kind"].toStdString());
+                 });
   mRouter->Start();
   mTraffic.start();
   StartTraffic(aKernel);
@@ -66,14 +76,22 @@
   QMetaObject::invokeMethod(
     mTrafficContext,
     [&] {
-      mServer = std::make_unique<net::HttpServer>(
-        LimitsFrom(settings->Limits()), *clock, [this](net::HttpExchange* aExchange) { mInterface->Handle(aExchange); });
-      const auto address = configuration::ParseAddress(settings->CallerAddress());
-      isListening = mServer->Listen(QHostAddress(QString::fromStdString(address.value().mHost)), address.value().mPort);
+      mServer =
+        std::make_unique<net::HttpServer>(LimitsFrom(settings->Limits()),
+                                          *clock,
+                                          [this](net::HttpExchange* aExchange) {
+                                            mInterface->Handle(aExchange);
+                                          });
+      const auto address =
+        configuration::ParseAddress(settings->CallerAddress());
+      isListening = mServer->Listen(
+        QHostAddress(QString::fromStdString(address.value().mHost)),
+        address.value().mPort);
     },
     Qt::BlockingQueuedConnection);
   if (!isListening) {
-    throw std::runtime_error("callerAddress " + settings->CallerAddress() + " cannot be listened on");
+    throw std::runtime_error("callerAddress " + settings->CallerAddress() +
+                             " cannot be listened on");
   }
 }
 
@@ -92,7 +110,8 @@
 EntryModule::Stop()
 {
   // The server's sockets belong to the traffic thread.
-  QMetaObject::invokeMethod(mTrafficContext, [this] { mServer.reset(); }, Qt::BlockingQueuedConnection);
+  QMetaObject::invokeMethod(
+    mTrafficContext, [this] { mServer.reset(); }, Qt::BlockingQueuedConnection);
   mTrafficContext->deleteLater();
   mTraffic.quit();
   mTraffic.wait();
--- a/src/entry/entrymodule.h
+++ b/src/entry/entrymodule.h
@@ -28,7 +28,10 @@
   ~EntryModule() override;
 
   std::string_view Name() const override { return "entry"; }
-  bool IsWanted(std::string_view aRole) const override { return aRole == "entry"; }
+  bool IsWanted(std::string_view aRole) const override
+  {
+    return aRole == "entry";
+  }
   void RegisterExports(kernel::Kernel&) override {}
   void Start(kernel::Kernel& aKernel) override;
   void BeginStop() override;
--- a/src/entry/internal/agentlink.cpp
+++ b/src/entry/internal/agentlink.cpp
@@ -37,7 +37,8 @@
 void
 AgentLink::SetDemand(const credits::Demand& aDemand)
 {
-  const bool isSame = aDemand.mInUse == mDemand.mInUse && aDemand.mWanted == mDemand.mWanted;
+  const bool isSame =
+    aDemand.mInUse == mDemand.mInUse && aDemand.mWanted == mDemand.mWanted;
   mDemand = aDemand;
   if (!isSame) {
     SendDemand();
@@ -65,7 +66,9 @@
   const std::weak_ptr<bool> alive = mAlive;
   mCall = Call::Start(
     QCoreApplication::instance(),
-    [this](grpc::ClientContext* aContext, auto* aReactor) { mStub->async()->Control(aContext, aReactor); },
+    [this](grpc::ClientContext* aContext, auto* aReactor) {
+      mStub->async()->Control(aContext, aReactor);
+    },
     [this, alive, attempt](const v1::AgentState& aState) {
       if (!alive.expired()) {
         TakeState(attempt, aState);
@@ -117,7 +120,8 @@
   }
   mHasState = true;
   mSilenceDeadline = mClock.Now() + kRenewalsUntilSilence * mRenewInterval;
-  // Counted from the sending of the demand, the lease ends here before it ends at the agent.
+  // Counted from the sending of the demand, the lease ends here before it ends
+  // at the agent.
   mOnState(aState, mLastSentAt + std::chrono::milliseconds(aState.lease_ms()));
 }
 
--- a/src/entry/internal/agentlink.h
+++ b/src/entry/internal/agentlink.h
@@ -11,12 +11,14 @@
 
 namespace beryllever::entry {
 
-/** Control connection to one agent. A connection that has gone silent is replaced. */
+/** Control connection to one agent. A connection that has gone silent is
+ * replaced. */
 class AgentLink
 {
 public:
   /** Gets the agent's newest state with the lease's deadline. */
-  using OnState = std::function<void(const v1::AgentState&, global::TimePoint aDeadline)>;
+  using OnState =
+    std::function<void(const v1::AgentState&, global::TimePoint aDeadline)>;
   using OnLost = std::function<void()>;
 
   AgentLink(const global::IClock& aClock,
--- a/src/entry/internal/answers.cpp
+++ b/src/entry/internal/answers.cpp
@@ -29,25 +29,30 @@
 }
 
 void
-AnswerError(net::HttpExchange* aExchange, const global::Error& aError, const AnswerDetails& aDetails)
+AnswerError(net::HttpExchange* aExchange,
+            const global::Error& aError,
+            const AnswerDetails& aDetails)
 {
   const global::Answer& answer = global::AnswerFor(aError.mKind);
   net::Headers headers{ { "Content-Type", "application/json" },
                         { "X-Error-Kind", Bytes(answer.mName) },
-                        { "X-Execution", Bytes(global::NameOf(answer.mExecution)) } };
+                        { "X-Execution",
+                          Bytes(global::NameOf(answer.mExecution)) } };
   if (answer.mRetryable) {
     headers.emplaceBack("Retry-After", "1");
   }
   if (!aDetails.mLocation.empty()) {
     headers.emplaceBack("Location", Bytes(aDetails.mLocation));
   }
-  aExchange->Reply(answer.mHttpStatus, headers, Bytes(ErrorBody(aError, aDetails)));
+  aExchange->Reply(
+    answer.mHttpStatus, headers, Bytes(ErrorBody(aError, aDetails)));
 }
 
 void
 AnswerJson(net::HttpExchange* aExchange, int aStatus, const std::string& aBody)
 {
-  aExchange->Reply(aStatus, { { "Content-Type", "application/json" } }, Bytes(aBody));
+  aExchange->Reply(
+    aStatus, { { "Content-Type", "application/json" } }, Bytes(aBody));
 }
 
 }
--- a/src/entry/internal/answers.h
+++ b/src/entry/internal/answers.h
@@ -22,7 +22,9 @@
 
 /** Answers with an error, as the closed table of errors says. */
 void
-AnswerError(net::HttpExchange* aExchange, const global::Error& aError, const AnswerDetails& aDetails = {});
+AnswerError(net::HttpExchange* aExchange,
+            const global::Error& aError,
+            const AnswerDetails& aDetails = {});
 
 /** Answers with JSON. */
 void
--- a/src/entry/internal/callerinterface.cpp
+++ b/src/entry/internal/callerinterface.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-/** Shorter than the promise about availability zones, so that kept answers end before it does. */
+/** Shorter than the promise about availability zones, so that kept answers end
+ * before it does. */
 constexpr std::chrono::seconds kAddressesTtl{ 2 };
 constexpr char kCallsPath[] = "/v1/calls/";
 constexpr char kWorkspaceHeader[] = "x-workspace";
@@ -27,7 +28,8 @@
 AnswerIfFailed(net::HttpExchange* aExchange, Function&& aFunction)
 {
   global::Resolve(
-    [&]() -> Result<void> { return aFunction(); }, [&](const global::Error& aError) { AnswerError(aExchange, aError); });
+    [&]() -> Result<void> { return aFunction(); },
+    [&](const global::Error& aError) { AnswerError(aExchange, aError); });
 }
 
 }
@@ -42,11 +44,14 @@
 {
   const Entry* entry = Find(aExchange->Request());
   if (!entry) {
-    AnswerError(aExchange, { ErrorKind::InvalidRequest, "there is no such method and path" });
+    AnswerError(
+      aExchange,
+      { ErrorKind::InvalidRequest, "there is no such method and path" });
     return;
   }
   if (!mContext.mConfiguration->IsKnown()) {
-    AnswerError(aExchange, { ErrorKind::NotReady, "no configuration is known yet" });
+    AnswerError(aExchange,
+                { ErrorKind::NotReady, "no configuration is known yet" });
     return;
   }
   if (entry->mIsWork && mContext.mConfiguration->IsSelfOut()) {
@@ -66,18 +71,22 @@
     { "POST", kCallsPath, &CallerInterface::HandleCall, true },
     { "POST", "/v1/outcomes", &CallerInterface::HandleOutcome, false },
   };
-  const auto* it = std::find_if(std::begin(sEntries), std::end(sEntries), [&](const Entry& entry) {
-    const QByteArray path(entry.mPath);
-    const bool isPathMatch = path.endsWith('/') ? aRequest.mPath.startsWith(path) : aRequest.mPath == path;
-    return aRequest.mMethod == entry.mMethod && isPathMatch;
-  });
+  const auto* it = std::find_if(
+    std::begin(sEntries), std::end(sEntries), [&](const Entry& entry) {
+      const QByteArray path(entry.mPath);
+      const bool isPathMatch = path.endsWith('/')
+                                 ? aRequest.mPath.startsWith(path)
+                                 : aRequest.mPath == path;
+      return aRequest.mMethod == entry.mMethod && isPathMatch;
+    });
   return it == std::end(sEntries) ? nullptr : it;
 }
 
 void
 CallerInterface::HandleAddresses(net::HttpExchange* aExchange)
 {
-  const std::string key = mContext.mSettings->VmName() + std::to_string(++mAddressAnswers);
+  const std::string key =
+    mContext.mSettings->VmName() + std::to_string(++mAddressAnswers);
   Json addresses = Json::array();
   const auto tables = mContext.mConfiguration->CurrentTables();
   const auto vms = mContext.mConfiguration->CurrentVms();
@@ -87,8 +96,8 @@
     if (isSelfOut && address.mVm == mContext.mSettings->VmName()) {
       continue;
     }
-    addresses.push_back(
-      { { "url", "http://" + address.mAddress }, { "availabilityZone", address.mAvailabilityZone } });
+    addresses.push_back({ { "url", "http://" + address.mAddress },
+                          { "availabilityZone", address.mAvailabilityZone } });
   }
   const Json body{ { "addresses", addresses },
                    { "ttlSeconds", kAddressesTtl.count() },
@@ -104,7 +113,9 @@
     BOOST_LEAF_AUTO(request, ReadRequest(http, configuration::kChatKind));
     BOOST_LEAF_AUTO(isStreamed, ReadIsStreamed(request.mBody));
     BOOST_LEAF_AUTO(resumeFrom, ReadResumeFrom(http));
-    std::make_shared<RelaySession>(mContext, aExchange, std::move(request), isStreamed, resumeFrom)->Start();
+    std::make_shared<RelaySession>(
+      mContext, aExchange, std::move(request), isStreamed, resumeFrom)
+      ->Start();
     return {};
   });
 }
@@ -114,12 +125,18 @@
 {
   AnswerIfFailed(aExchange, [&]() -> Result<void> {
     const net::HttpRequest& http = aExchange->Request();
-    BOOST_LEAF_AUTO(request, ReadRequest(http, http.mPath.mid(sizeof(kCallsPath) - 1).toStdString()));
+    BOOST_LEAF_AUTO(
+      request,
+      ReadRequest(http, http.mPath.mid(sizeof(kCallsPath) - 1).toStdString()));
     BOOST_LEAF_AUTO(ticket, ReadTicket(http));
     if (request.mRoute->mIsIdempotent && !ticket) {
-      std::make_shared<RelaySession>(mContext, aExchange, std::move(request), false, std::nullopt)->Start();
+      std::make_shared<RelaySession>(
+        mContext, aExchange, std::move(request), false, std::nullopt)
+        ->Start();
     } else {
-      std::make_shared<TicketSession>(mContext, aExchange, std::move(request), TicketPurpose::Run, ticket)->Start();
+      std::make_shared<TicketSession>(
+        mContext, aExchange, std::move(request), TicketPurpose::Run, ticket)
+        ->Start();
     }
     return {};
   });
@@ -130,8 +147,15 @@
 {
   AnswerIfFailed(aExchange, [&]() -> Result<void> {
     const net::HttpRequest& http = aExchange->Request();
-    BOOST_LEAF_AUTO(request, ReadRequest(http, http.mPath.mid(sizeof("/v1/tickets/") - 1).toStdString()));
-    std::make_shared<TicketSession>(mContext, aExchange, std::move(request), TicketPurpose::Issue, std::nullopt)
+    BOOST_LEAF_AUTO(
+      request,
+      ReadRequest(http,
+                  http.mPath.mid(sizeof("/v1/tickets/") - 1).toStdString()));
+    std::make_shared<TicketSession>(mContext,
+                                    aExchange,
+                                    std::move(request),
+                                    TicketPurpose::Issue,
+                                    std::nullopt)
       ->Start();
     return {};
   });
@@ -144,13 +168,19 @@
     const net::HttpRequest& http = aExchange->Request();
     BOOST_LEAF_AUTO(ticket, ReadTicket(http));
     if (!ticket) {
-      return global::Fail(ErrorKind::UnknownTicket, "the header Idempotency-Key with the ticket is missing");
+      return global::Fail(
+        ErrorKind::UnknownTicket,
+        "the header Idempotency-Key with the ticket is missing");
     }
-    CallerRequest request{ .mWorkspace = http.Header(kWorkspaceHeader).toStdString(),
-                           .mKind = "outcome",
-                           .mRoute = std::make_shared<configuration::Route>(),
-                           .mDeadline = mContext.mClock.Now() + configuration::Route().mTimeout };
-    std::make_shared<TicketSession>(mContext, aExchange, std::move(request), TicketPurpose::Settle, ticket)->Start();
+    CallerRequest request{
+      .mWorkspace = http.Header(kWorkspaceHeader).toStdString(),
+      .mKind = "outcome",
+      .mRoute = std::make_shared<configuration::Route>(),
+      .mDeadline = mContext.mClock.Now() + configuration::Route().mTimeout
+    };
+    std::make_shared<TicketSession>(
+      mContext, aExchange, std::move(request), TicketPurpose::Settle, ticket)
+      ->Start();
     return {};
   });
 }
@@ -158,46 +188,64 @@
 void
 CallerInterface::SendElsewhere(net::HttpExchange* aExchange)
 {
-  const std::string key = mContext.mSettings->VmName() + std::to_string(++mAddressAnswers);
-  const auto addresses = routing::SelectAddresses(
-    *mContext.mConfiguration->CurrentTables(), *mContext.mConfiguration->CurrentVms(), key);
-  const auto other = std::find_if(addresses.begin(), addresses.end(), [&](const routing::EntryAddress& address) {
-    return address.mVm != mContext.mSettings->VmName();
-  });
+  const std::string key =
+    mContext.mSettings->VmName() + std::to_string(++mAddressAnswers);
+  const auto addresses =
+    routing::SelectAddresses(*mContext.mConfiguration->CurrentTables(),
+                             *mContext.mConfiguration->CurrentVms(),
+                             key);
+  const auto other =
+    std::find_if(addresses.begin(),
+                 addresses.end(),
+                 [&](const routing::EntryAddress& address) {
+                   return address.mVm != mContext.mSettings->VmName();
+                 });
   if (other == addresses.end()) {
-    AnswerError(aExchange, { ErrorKind::NotRun, "this entry takes no new work and knows no other" });
+    AnswerError(
+      aExchange,
+      { ErrorKind::NotRun, "this entry takes no new work and knows no other" });
     return;
   }
-  const std::string location = "http://" + other->mAddress + aExchange->Request().mPath.toStdString();
-  AnswerError(
-    aExchange, { ErrorKind::OutOfService, "this entry takes no new work" }, { .mLocation = location });
+  const std::string location =
+    "http://" + other->mAddress + aExchange->Request().mPath.toStdString();
+  AnswerError(aExchange,
+              { ErrorKind::OutOfService, "this entry takes no new work" },
+              { .mLocation = location });
 }
 
 Result<CallerRequest>
-CallerInterface::ReadRequest(const net::HttpRequest& aRequest, const std::string& aKind) const
+CallerInterface::ReadRequest(const net::HttpRequest& aRequest,
+                             const std::string& aKind) const
 {
-  CallerRequest request{ .mWorkspace = aRequest.Header(kWorkspaceHeader).toStdString(),
+  CallerRequest request{ .mWorkspace =
+                           aRequest.Header(kWorkspaceHeader).toStdString(),
                          .mKind = aKind,
                          .mBody = aRequest.mBody.toStdString() };
   if (request.mWorkspace.empty()) {
-    return global::Fail(ErrorKind::InvalidRequest, "the header X-Workspace is missing");
+    return global::Fail(ErrorKind::InvalidRequest,
+                        "the header X-Workspace is missing");
   }
-  request.mRoute = mContext.mConfiguration->CurrentTables()->FindRoute(request.mWorkspace, aKind);
+  request.mRoute = mContext.mConfiguration->CurrentTables()->FindRoute(
+    request.mWorkspace, aKind);
   if (!request.mRoute) {
     return global::Fail(ErrorKind::UnknownWorkspace,
-                        "no route for workspace " + request.mWorkspace + " and kind " + aKind);
+                        "no route for workspace " + request.mWorkspace +
+                          " and kind " + aKind);
   }
   std::chrono::milliseconds timeout = request.mRoute->mTimeout;
-  if (const QByteArray text = aRequest.Header(kTimeoutHeader); !text.isEmpty()) {
+  if (const QByteArray text = aRequest.Header(kTimeoutHeader);
+      !text.isEmpty()) {
     bool isNumber = false;
     const int milliseconds = text.toInt(&isNumber);
     if (!isNumber || milliseconds < 1) {
-      return global::Fail(ErrorKind::InvalidRequest, "X-Timeout-Milliseconds is not a positive number");
+      return global::Fail(ErrorKind::InvalidRequest,
+                          "X-Timeout-Milliseconds is not a positive number");
     }
     timeout = std::min(timeout, std::chrono::milliseconds(milliseconds));
   }
   request.mDeadline = mContext.mClock.Now() + timeout;
-  // The body of a call must not be empty, or its sending could not be told from its not being sent.
+  // The body of a call must not be empty, or its sending could not be told from
+  // its not being sent.
   if (request.mBody.empty()) {
     request.mBody = "{}";
   }
@@ -208,8 +256,11 @@
 CallerInterface::ReadIsStreamed(const std::string& aBody)
 {
   const Json json = Json::parse(aBody, nullptr, false);
-  if (!json.is_object() || !json.contains("messages") || !json["messages"].is_array()) {
-    return global::Fail(ErrorKind::InvalidRequest, "the body is not a JSON object with an array of messages");
+  if (!json.is_object() || !json.contains("messages") ||
+      !json["messages"].is_array()) {
+    return global::Fail(
+      ErrorKind::InvalidRequest,
+      "the body is not a JSON object with an array of messages");
   }
   const auto it = json.find("stream");
   if (it != json.end() && !it->is_boolean()) {
--- a/src/entry/internal/callerinterface.h
+++ b/src/entry/internal/callerinterface.h
@@ -26,7 +26,8 @@
     const char* mMethod;
     const char* mPath;
     Handler mHandler;
-    /** Whether it is new work, which an entry out of service sends elsewhere. */
+    /** Whether it is new work, which an entry out of service sends elsewhere.
+     */
     bool mIsWork;
   };
 
@@ -38,10 +39,13 @@
   void HandleOutcome(net::HttpExchange* aExchange);
   void SendElsewhere(net::HttpExchange* aExchange);
 
-  global::Result<CallerRequest> ReadRequest(const net::HttpRequest& aRequest, const std::string& aKind) const;
+  global::Result<CallerRequest> ReadRequest(const net::HttpRequest& aRequest,
+                                            const std::string& aKind) const;
   static global::Result<bool> ReadIsStreamed(const std::string& aBody);
-  static global::Result<ResumeFrom> ReadResumeFrom(const net::HttpRequest& aRequest);
-  static global::Result<std::optional<v1::Ticket>> ReadTicket(const net::HttpRequest& aRequest);
+  static global::Result<ResumeFrom> ReadResumeFrom(
+    const net::HttpRequest& aRequest);
+  static global::Result<std::optional<v1::Ticket>> ReadTicket(
+    const net::HttpRequest& aRequest);
 
   SessionContext& mContext;
   uint64_t mAddressAnswers = 0;
--- a/src/entry/internal/relaysession.cpp
+++ b/src/entry/internal/relaysession.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/hashing.h"
 #include "framework/global/identifiers.h"
+#include "framework/log/log.h"
 #include "transport/tokens.h"
 
 #include <QTimer>
@@ -13,6 +14,7 @@
 
 namespace {
 
+constexpr char kLogTag[] = "entry";
 constexpr size_t kStreamIdBytes = 12;
 constexpr size_t kAffinityPrefixBytes = 512;
 constexpr size_t kMaxReorderedBytes = 64 * 1024;
@@ -36,11 +38,14 @@
                            ResumeFrom aResumeFrom)
   : Session(aContext, aExchange, std::move(aRequest), "entry")
   , mIsStreamed(aIsStreamed)
-  , mStreamId(aResumeFrom ? aResumeFrom->stream_id() : global::RandomHex(kStreamIdBytes))
+  , mStreamId(aResumeFrom ? aResumeFrom->stream_id()
+                          : global::RandomHex(kStreamIdBytes))
   , mEndpoint(aResumeFrom ? aResumeFrom->endpoint() : "")
-  , mAffinityKey(mRequest.mWorkspace + mRequest.mBody.substr(0, kAffinityPrefixBytes))
+  , mAffinityKey(mRequest.mWorkspace +
+                 mRequest.mBody.substr(0, kAffinityPrefixBytes))
   , mSequencer(aResumeFrom ? aResumeFrom->offset() : 0, kMaxReorderedBytes)
-  , mFramer(mSequencer.Offset(), [this](uint64_t aOffset) { return MakeEventId(aOffset); })
+  , mFramer(mSequencer.Offset(),
+            [this](uint64_t aOffset) { return MakeEventId(aOffset); })
   , mIsFixed(aResumeFrom.has_value())
 {
 }
@@ -50,12 +55,13 @@
 {
   const std::weak_ptr<Session> weak = weak_from_this();
   mExchange->SetOnDrained([weak] {
-    if (const auto self = std::static_pointer_cast<RelaySession>(weak.lock()); self && self->mIsHeldBack) {
+    if (const auto self = std::static_pointer_cast<RelaySession>(weak.lock());
+        self && self->mIsHeldBack) {
       self->ReadNext();
     }
   });
-  const auto left =
-    std::chrono::duration_cast<std::chrono::milliseconds>(mRequest.mDeadline - mContext.mClock.Now());
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mRequest.mDeadline - mContext.mClock.Now());
   QTimer::singleShot(left, mContext.mTraffic, [weak] {
     if (const auto self = std::static_pointer_cast<RelaySession>(weak.lock())) {
       self->HandleDeadline();
@@ -82,7 +88,9 @@
   request.mFixedEndpoint = mIsFixed ? mEndpoint : "";
   const auto self = Self<RelaySession>();
   mContext.mRouter.Acquire(
-    std::move(request), mContext.mTraffic, [self](const Decision& aDecision) { self->HandleDecision(aDecision); });
+    std::move(request), mContext.mTraffic, [self](const Decision& aDecision) {
+      self->HandleDecision(aDecision);
+    });
 }
 
 void
@@ -100,7 +108,8 @@
     return;
   }
   const Error& error = std::get<Error>(aDecision);
-  EndWithError(mIsFixed ? Error{ ErrorKind::StreamLost, error.mMessage } : error);
+  EndWithError(mIsFixed ? Error{ ErrorKind::StreamLost, error.mMessage }
+                        : error);
 }
 
 void
@@ -110,20 +119,27 @@
   mEndpoint = aPlacement.mAddress;
   mSpan.mAttributes["endpoint"] = mEndpoint;
   const uint64_t attempt = ++mAttempt;
-  const auto left = std::chrono::duration_cast<std::chrono::system_clock::duration>(mRequest.mDeadline -
-                                                                                   mContext.mClock.Now());
-  const auto deadline = std::chrono::system_clock::now() + (mIsStreamed ? kStreamTime : left);
+  const auto left =
+    std::chrono::duration_cast<std::chrono::system_clock::duration>(
+      mRequest.mDeadline - mContext.mClock.Now());
+  const auto deadline =
+    std::chrono::system_clock::now() + (mIsStreamed ? kStreamTime : left);
   const auto self = Self<RelaySession>();
   mCall = Call::Start(
     mContext.mTraffic,
     MakeRequest(),
     deadline,
-    [stub = aPlacement.mStub](auto* aContext, const auto* aRequest, auto* aReactor) {
+    [stub =
+       aPlacement.mStub](auto* aContext, const auto* aRequest, auto* aReactor) {
       stub->async()->Execute(aContext, aRequest, aReactor);
     },
-    [self, attempt](v1::ExecuteUpdate aUpdate) { self->HandleUpdate(attempt, std::move(aUpdate)); },
+    [self, attempt](v1::ExecuteUpdate aUpdate) {
+      self->HandleUpdate(attempt, std::move(aUpdate));
+    },
     // The stub lives as long as the call.
-    [self, attempt, stub = aPlacement.mStub](const grpc::Status& aStatus) { self->HandleCallEnd(attempt, aStatus); });
+    [self, attempt, stub = aPlacement.mStub](const grpc::Status& aStatus) {
+      self->HandleCallEnd(attempt, aStatus);
+    });
   mCall->Read();
 }
 
@@ -161,10 +177,12 @@
       HandleEnd(aUpdate.end());
       break;
     case v1::ExecuteUpdate::kFailure:
-      HandleFailure({ global::KindNamed(aUpdate.failure().kind()), aUpdate.failure().message() });
+      HandleFailure({ global::KindNamed(aUpdate.failure().kind()),
+                      aUpdate.failure().message() });
       break;
     default:
-      HandleFailure({ ErrorKind::EndpointFailed, "the agent sent an update of an unknown kind" });
+      HandleFailure({ ErrorKind::EndpointFailed,
+                      "the agent sent an update of an unknown kind" });
   }
 }
 
@@ -174,14 +192,17 @@
   const bool isServerError = aHead.http_status() >= 500;
   if (isServerError) {
     mMayHaveRun = true;
-    HandleFailure({ ErrorKind::EndpointFailed, "the back end answered " + std::to_string(aHead.http_status()) });
+    HandleFailure(
+      { ErrorKind::EndpointFailed,
+        "the back end answered " + std::to_string(aHead.http_status()) });
     return;
   }
   if (!mHasHead) {
     mHasHead = true;
-    mExchange->BeginStream(aHead.http_status(),
-                           { { "Content-Type", QByteArray::fromStdString(aHead.content_type()) },
-                             { "Cache-Control", "no-store" } });
+    mExchange->BeginStream(
+      aHead.http_status(),
+      { { "Content-Type", QByteArray::fromStdString(aHead.content_type()) },
+        { "Cache-Control", "no-store" } });
   }
   ReadNext();
 }
@@ -190,8 +211,10 @@
 RelaySession::HandleChunk(v1::ExecuteChunk aChunk)
 {
   mResumeDeadline = global::TimePoint::max();
-  const std::string ready = mSequencer.Take(aChunk.offset(), std::move(*aChunk.mutable_data()));
-  mExchange->WriteChunk(QByteArray::fromStdString(mIsStreamed ? mFramer.Take(ready) : ready));
+  const std::string ready =
+    mSequencer.Take(aChunk.offset(), std::move(*aChunk.mutable_data()));
+  mExchange->WriteChunk(
+    QByteArray::fromStdString(mIsStreamed ? mFramer.Take(ready) : ready));
   ReadNext();
 }
 
@@ -228,7 +251,9 @@
   if (mIsOver || aAttempt != mAttempt) {
     return;
   }
-  HandleFailure({ ErrorKind::EndpointFailed, "the connection to the endpoint is lost: " + aStatus.error_message() });
+  HandleFailure(
+    { ErrorKind::EndpointFailed,
+      "the connection to the endpoint is lost: " + aStatus.error_message() });
 }
 
 void
@@ -240,13 +265,15 @@
   const bool isPlaced = !mPlacedAt.empty();
   mMayHaveRun = mMayHaveRun || isPlaced;
   EndAttempt(PlacementEnd::Served);
-  EndWithError({ ErrorKind::DeadlineExceeded, "no answer came before the deadline" });
+  EndWithError(
+    { ErrorKind::DeadlineExceeded, "no answer came before the deadline" });
 }
 
 void
 RelaySession::ReadNext()
 {
-  mIsHeldBack = mExchange && mExchange->PendingBytes() >= mContext.mSettings->Limits().mStreamBytes / 2;
+  mIsHeldBack = mExchange && mExchange->PendingBytes() >=
+                               mContext.mSettings->Limits().mStreamBytes / 2;
   if (!mIsHeldBack && mCall) {
     mCall->Read();
   }
@@ -260,7 +287,8 @@
     mResumeDeadline = now + kResumeTime;
   }
   if (!mIsStreamed || now >= mResumeDeadline) {
-    EndWithError({ mHasHead ? ErrorKind::StreamLost : aError.mKind, aError.mMessage });
+    EndWithError(
+      { mHasHead ? ErrorKind::StreamLost : aError.mKind, aError.mMessage });
     return;
   }
   mContext.mMetrics.Count("beryllever_streams_resumed_total");
@@ -289,16 +317,21 @@
 RelaySession::EndWithError(const Error& aError)
 {
   mIsOver = true;
+  LOGD("An answer ends early. workspace=" << mRequest.mWorkspace
+                                          << " endpoint=" << mEndpoint
+                                          << " reason=" << aError.mMessage);
   Error error = aError;
   if (mMayHaveRun && IsRefusal(error.mKind)) {
-    error = { ErrorKind::EndpointFailed, "an endpoint failed and no other was free: " + aError.mMessage };
+    error = { ErrorKind::EndpointFailed,
+              "an endpoint failed and no other was free: " + aError.mMessage };
   }
   if (!mHasHead) {
     Fail(error);
     return;
   }
   if (mIsStreamed && mExchange) {
-    mExchange->WriteChunk(QByteArray::fromStdString("event: error\ndata: " + ErrorBody(error) + "\n\n"));
+    mExchange->WriteChunk(QByteArray::fromStdString(
+      "event: error\ndata: " + ErrorBody(error) + "\n\n"));
   }
   // A cut answer must not look whole.
   if (mExchange) {
--- a/src/entry/internal/relaysession.h
+++ b/src/entry/internal/relaysession.h
@@ -14,8 +14,8 @@
 
 /**
  * A request that may be sent again: a chat, or an idempotent call. A refused or
- * failed attempt is made elsewhere; a streamed answer that breaks off is resumed at
- * its endpoint from the last byte that was passed on.
+ * failed attempt is made elsewhere; a streamed answer that breaks off is
+ * resumed at its endpoint from the last byte that was passed on.
  */
 class RelaySession : public Session
 {
@@ -65,7 +65,8 @@
   bool mHasHead = false;
   bool mIsHeldBack = false;
   bool mIsOver = false;
-  /** An earlier attempt may have run, so no refusal may claim that the request has not. */
+  /** An earlier attempt may have run, so no refusal may claim that the request
+   * has not. */
   bool mMayHaveRun = false;
   global::TimePoint mResumeDeadline = global::TimePoint::max();
 };
--- a/src/entry/internal/router.cpp
+++ b/src/entry/internal/router.cpp
@@ -52,16 +52,23 @@
 }
 
 void
-Router::Acquire(PlacementRequest aRequest, QObject* aContext, std::function<void(Decision)> aOnDecision)
+Router::Acquire(PlacementRequest aRequest,
+                QObject* aContext,
+                std::function<void(Decision)> aOnDecision)
 {
   transport::Post(&mContext,
-                  [this, pending = Pending{ std::move(aRequest), aContext, std::move(aOnDecision) }] { Decide(pending); });
+                  [this,
+                   pending = Pending{
+                     std::move(aRequest), aContext, std::move(aOnDecision) }] {
+                    Decide(pending);
+                  });
 }
 
 void
 Router::Return(const std::string& aAddress, PlacementEnd aEnd)
 {
-  transport::Post(&mContext, [this, aAddress, aEnd] { Release(aAddress, aEnd); });
+  transport::Post(&mContext,
+                  [this, aAddress, aEnd] { Release(aAddress, aEnd); });
 }
 
 void
@@ -80,7 +87,8 @@
   }
   // A request must not overtake those that wait.
   const auto it = mQueues.find(aPending.mRequest.mPool);
-  const bool isQueueEmpty = it == mQueues.end() || it->second.mQueue.Size() == 0;
+  const bool isQueueEmpty =
+    it == mQueues.end() || it->second.mQueue.Size() == 0;
   if (isQueueEmpty && TryPlace(aPending)) {
     return;
   }
@@ -92,7 +100,8 @@
 {
   const std::string& address = aPending.mRequest.mFixedEndpoint;
   if (!mKnownAddresses.contains(address)) {
-    Refuse(aPending, ErrorKind::OutcomeUnknown, "the endpoint is not in the tables");
+    Refuse(
+      aPending, ErrorKind::OutcomeUnknown, "the endpoint is not in the tables");
     return;
   }
   Place(aPending, address);
@@ -108,7 +117,8 @@
     return false;
   }
   const routing::EndpointSelector selector(*tables, *vms, mWallet);
-  const auto* endpoint = selector.Choose(*pool, { aPending.mRequest.mAffinityKey, aPending.mRequest.mTried });
+  const auto* endpoint = selector.Choose(
+    *pool, { aPending.mRequest.mAffinityKey, aPending.mRequest.mTried });
   if (!endpoint) {
     return false;
   }
@@ -121,17 +131,18 @@
 {
   mWallet.Use(aAddress);
   Decision decision = Placement{ aAddress, LinkFor(aAddress).Stub() };
-  transport::Post(aPending.mContext, [onDecision = aPending.mOnDecision, decision = std::move(decision)] {
-    onDecision(decision);
-  });
+  transport::Post(aPending.mContext,
+                  [onDecision = aPending.mOnDecision,
+                   decision = std::move(decision)] { onDecision(decision); });
   UpdateDemand();
 }
 
 void
 Router::Enqueue(Pending aPending)
 {
-  auto [it, isNew] =
-    mQueues.try_emplace(aPending.mRequest.mPool, static_cast<size_t>(mSettings->Limits().mQueuedRequests));
+  auto [it, isNew] = mQueues.try_emplace(
+    aPending.mRequest.mPool,
+    static_cast<size_t>(mSettings->Limits().mQueuedRequests));
   PoolQueue& queue = it->second;
   const uint64_t id = ++mNextId;
   const PlacementRequest& request = aPending.mRequest;
@@ -139,24 +150,28 @@
                           request.mWorkspace,
                           request.mPriority,
                           request.mWeight,
-                          std::min(request.mDeadline, mClock.Now() + kMaxQueueTime) };
+                          std::min(request.mDeadline,
+                                   mClock.Now() + kMaxQueueTime) };
   // An endpoint that refused may serve the request later.
   aPending.mRequest.mTried.clear();
   queue.mPending.emplace(id, std::move(aPending));
   if (const auto shed = queue.mQueue.Push(std::move(waiter))) {
     const auto node = queue.mPending.extract(shed->mId);
-    mMetrics.Count("beryllever_requests_shed_total", { { "priority", std::to_string(shed->mPriority) } });
+    mMetrics.Count("beryllever_requests_shed_total",
+                   { { "priority", std::to_string(shed->mPriority) } });
     Refuse(node.mapped(), ErrorKind::Overloaded, "too many requests wait");
   }
   UpdateDemand();
 }
 
 void
-Router::Refuse(const Pending& aPending, ErrorKind aKind, const std::string& aMessage)
+Router::Refuse(const Pending& aPending,
+               ErrorKind aKind,
+               const std::string& aMessage)
 {
-  transport::Post(aPending.mContext, [onDecision = aPending.mOnDecision, error = Error{ aKind, aMessage }] {
-    onDecision(error);
-  });
+  transport::Post(aPending.mContext,
+                  [onDecision = aPending.mOnDecision,
+                   error = Error{ aKind, aMessage }] { onDecision(error); });
 }
 
 void
@@ -192,15 +207,19 @@
     aQueue.mPending.erase(it);
     aQueue.mQueue.Pop();
   }
-  mMetrics.Set("beryllever_waiting_requests", static_cast<double>(aQueue.mQueue.Size()), { { "pool", aPool } });
+  mMetrics.Set("beryllever_waiting_requests",
+               static_cast<double>(aQueue.mQueue.Size()),
+               { { "pool", aPool } });
 }
 
 void
 Router::DropExpired(PoolQueue& aQueue)
 {
-  for (const routing::Waiter& waiter : aQueue.mQueue.TakeExpired(mClock.Now())) {
+  for (const routing::Waiter& waiter :
+       aQueue.mQueue.TakeExpired(mClock.Now())) {
     const auto node = aQueue.mPending.extract(waiter.mId);
-    Refuse(node.mapped(), ErrorKind::Overloaded, "no endpoint was free in time");
+    Refuse(
+      node.mapped(), ErrorKind::Overloaded, "no endpoint was free in time");
   }
 }
 
@@ -210,8 +229,11 @@
   const auto tables = mConfiguration->CurrentTables();
   for (const auto& [name, pool] : tables->Pools()) {
     const auto queue = mQueues.find(name);
-    const auto waiting = queue == mQueues.end() ? 0 : static_cast<int>(queue->second.mQueue.Size());
-    const int endpoints = std::max<int>(1, static_cast<int>(pool->mEndpoints.size()));
+    const auto waiting = queue == mQueues.end()
+                           ? 0
+                           : static_cast<int>(queue->second.mQueue.Size());
+    const int endpoints =
+      std::max<int>(1, static_cast<int>(pool->mEndpoints.size()));
     const int waitingEach = (waiting + endpoints - 1) / endpoints;
     for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
       const auto link = mLinks.find(endpoint.mAddress);
@@ -219,7 +241,8 @@
         continue;
       }
       const auto state = mWallet.States().find(endpoint.mAddress);
-      const int inUse = state == mWallet.States().end() ? 0 : state->second.mInUse;
+      const int inUse =
+        state == mWallet.States().end() ? 0 : state->second.mInUse;
       const int spare = inUse > 0 ? 1 : 0;
       link->second->SetDemand({ inUse, inUse + waitingEach + spare });
     }
@@ -231,7 +254,8 @@
 {
   const std::set<std::string> wanted = WantedLinks();
   mKnownAddresses.insert(wanted.begin(), wanted.end());
-  std::erase_if(mLinks, [&](const auto& link) { return !wanted.contains(link.first); });
+  std::erase_if(mLinks,
+                [&](const auto& link) { return !wanted.contains(link.first); });
   for (const std::string& address : wanted) {
     LinkFor(address);
   }
@@ -245,9 +269,11 @@
   for (const auto& [name, pool] : tables->Pools()) {
     std::vector<spread::Candidate> candidates;
     for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
-      candidates.push_back({ endpoint.mVm, endpoint.mAvailabilityZone, endpoint.mAddress });
+      candidates.push_back(
+        { endpoint.mVm, endpoint.mAvailabilityZone, endpoint.mAddress });
     }
-    for (const auto& chosen : spread::SelectSources(mSettings->VmName(), candidates, kMaxLinksPerPool)) {
+    for (const auto& chosen : spread::SelectSources(
+           mSettings->VmName(), candidates, kMaxLinksPerPool)) {
       wanted.insert(chosen.mAddress);
     }
   }
@@ -264,8 +290,12 @@
       mSettings->VmName(),
       aAddress,
       kMinRenewInterval,
-      [this, aAddress](const v1::AgentState& aState, global::TimePoint aDeadline) {
-        mWallet.TakeLease(aAddress, { aState.slots(), aDeadline }, aState.unleased(), aState.bears());
+      [this, aAddress](const v1::AgentState& aState,
+                       global::TimePoint aDeadline) {
+        mWallet.TakeLease(aAddress,
+                          { aState.slots(), aDeadline },
+                          aState.unleased(),
+                          aState.bears());
         Pump();
       },
       [this, aAddress] { mWallet.Forget(aAddress); });
@@ -280,7 +310,8 @@
   const bool wasPaused = now - mLastTick > kPauseThreshold;
   mLastTick = now;
   if (wasPaused) {
-    // What was known before a pause may be false now, whatever its deadlines say.
+    // What was known before a pause may be false now, whatever its deadlines
+    // say.
     LOGW("The process was paused; all leases are dropped.");
     mWallet.ForgetAll();
   }
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -29,7 +29,8 @@
   std::string mAffinityKey;
   std::set<std::string> mTried;
   global::TimePoint mDeadline;
-  /** Address of the only endpoint that can serve the request; empty if any can. */
+  /** Address of the only endpoint that can serve the request; empty if any can.
+   */
   std::string mFixedEndpoint;
   bool mIsRetry = false;
 };
@@ -52,8 +53,8 @@
 };
 
 /**
- * Decides which endpoint serves a request, and when. Lives on the control thread;
- * Acquire and Return may be called from any thread.
+ * Decides which endpoint serves a request, and when. Lives on the control
+ * thread; Acquire and Return may be called from any thread.
  */
 class Router
 {
@@ -66,11 +67,14 @@
   void Start();
 
   /** Hands the decision to a function on the thread of the context. */
-  void Acquire(PlacementRequest aRequest, QObject* aContext, std::function<void(Decision)> aOnDecision);
+  void Acquire(PlacementRequest aRequest,
+               QObject* aContext,
+               std::function<void(Decision)> aOnDecision);
   void Return(const std::string& aAddress, PlacementEnd aEnd);
 
   /** Where a request would go, and why not elsewhere. */
-  settings::Json Explain(const std::string& aWorkspace, const std::string& aKind) const;
+  settings::Json Explain(const std::string& aWorkspace,
+                         const std::string& aKind) const;
   settings::Json Status() const;
 
 private:
@@ -95,7 +99,9 @@
   bool TryPlace(const Pending& aPending);
   void Place(const Pending& aPending, const std::string& aAddress);
   void Enqueue(Pending aPending);
-  void Refuse(const Pending& aPending, global::ErrorKind aKind, const std::string& aMessage);
+  void Refuse(const Pending& aPending,
+              global::ErrorKind aKind,
+              const std::string& aMessage);
   void Release(const std::string& aAddress, PlacementEnd aEnd);
   void Pump();
   void PumpPool(const std::string& aPool, PoolQueue& aQueue);
@@ -112,7 +118,8 @@
   metrics::Metrics& mMetrics;
   credits::CreditWallet mWallet;
   std::map<std::string, std::unique_ptr<AgentLink>> mLinks;
-  /** Addresses that the tables have named; no other address is ever connected to. */
+  /** Addresses that the tables have named; no other address is ever connected
+   * to. */
   std::set<std::string> mKnownAddresses;
   std::map<std::string, PoolQueue> mQueues;
   routing::RetryBudget mRetryBudget;
--- a/src/entry/internal/routerreports.cpp
+++ b/src/entry/internal/routerreports.cpp
@@ -11,7 +11,9 @@
 {
   const auto tables = mConfiguration->CurrentTables();
   const auto vms = mConfiguration->CurrentVms();
-  Json report{ { "workspace", aWorkspace }, { "kind", aKind }, { "revision", tables->Revision() } };
+  Json report{ { "workspace", aWorkspace },
+               { "kind", aKind },
+               { "revision", tables->Revision() } };
   const auto route = tables->FindRoute(aWorkspace, aKind);
   if (!route) {
     report["verdict"] = "no route names this workspace and kind";
@@ -23,16 +25,20 @@
   const auto pool = tables->FindPool(route->mPool);
   Json endpoints = Json::array();
   int eligible = 0;
-  for (const auto& assessment : routing::EndpointSelector(*tables, *vms, mWallet).Assess(*pool, {})) {
+  for (const auto& assessment :
+       routing::EndpointSelector(*tables, *vms, mWallet).Assess(*pool, {})) {
     eligible += assessment.mEligibility == routing::Eligibility::Eligible;
-    endpoints.push_back({ { "vm", assessment.mEndpoint->mVm },
-                          { "availabilityZone", assessment.mEndpoint->mAvailabilityZone },
-                          { "address", assessment.mEndpoint->mAddress },
-                          { "verdict", routing::NameOf(assessment.mEligibility) },
-                          { "usage", assessment.mUsage } });
+    endpoints.push_back(
+      { { "vm", assessment.mEndpoint->mVm },
+        { "availabilityZone", assessment.mEndpoint->mAvailabilityZone },
+        { "address", assessment.mEndpoint->mAddress },
+        { "verdict", routing::NameOf(assessment.mEligibility) },
+        { "usage", assessment.mUsage } });
   }
   report["endpoints"] = endpoints;
-  report["verdict"] = std::to_string(eligible) + " of " + std::to_string(endpoints.size()) + " endpoints are eligible";
+  report["verdict"] = std::to_string(eligible) + " of " +
+                      std::to_string(endpoints.size()) +
+                      " endpoints are eligible";
   return report;
 }
 
@@ -42,12 +48,13 @@
   Json credits = Json::array();
   for (const auto& [address, state] : mWallet.States()) {
     const auto link = mLinks.find(address);
-    credits.push_back({ { "endpoint", address },
-                        { "connected", link != mLinks.end() && link->second->IsConnected() },
-                        { "slots", state.mLease.mSlots },
-                        { "unleased", state.mUnleased },
-                        { "bears", state.mBears },
-                        { "inUse", state.mInUse } });
+    credits.push_back(
+      { { "endpoint", address },
+        { "connected", link != mLinks.end() && link->second->IsConnected() },
+        { "slots", state.mLease.mSlots },
+        { "unleased", state.mUnleased },
+        { "bears", state.mBears },
+        { "inUse", state.mInUse } });
   }
   Json waiting = Json::object();
   for (const auto& [pool, queue] : mQueues) {
--- a/src/entry/internal/session.cpp
+++ b/src/entry/internal/session.cpp
@@ -20,7 +20,9 @@
   , mExchange(aExchange)
   , mRequest(std::move(aRequest))
   , mSpan(aContext.mTracer.Start(
-      tracing::ParseTraceparent(aExchange->Request().Header("traceparent").toStdString()), aName))
+      tracing::ParseTraceparent(
+        aExchange->Request().Header("traceparent").toStdString()),
+      aName))
   , mStartedAt(aContext.mClock.Now())
 {
 }
@@ -37,8 +39,8 @@
 {
   mSpan.mAttributes["workspace"] = mRequest.mWorkspace;
   mSpan.mAttributes["kind"] = mRequest.mKind;
-  const int64_t bytes =
-    mContext.mSettings->Limits().mStreamBytes + static_cast<int64_t>(mRequest.mBody.size());
+  const int64_t bytes = mContext.mSettings->Limits().mStreamBytes +
+                        static_cast<int64_t>(mRequest.mBody.size());
   if (!mContext.mBudget.Reserve(mRequest.mWorkspace, bytes)) {
     Fail({ ErrorKind::Overloaded, "the memory for requests is used up" });
     return;
@@ -60,7 +62,8 @@
   if (mExchange) {
     AnswerError(mExchange, aError, aDetails);
   }
-  LOGD("A request has failed. kind=" << global::AnswerFor(aError.mKind).mName << " workspace=" << mRequest.mWorkspace
+  LOGD("A request has failed. kind=" << global::AnswerFor(aError.mKind).mName
+                                     << " workspace=" << mRequest.mWorkspace
                                      << " reason=" << aError.mMessage);
   Finish(std::string(global::AnswerFor(aError.mKind).mName));
 }
@@ -71,10 +74,12 @@
   mExchange = nullptr;
   mSpan.mAttributes["end"] = aEnd;
   mContext.mTracer.Finish(mSpan);
-  mContext.mMetrics.Count("beryllever_requests_total", { { "kind", mRequest.mKind }, { "end", aEnd } });
-  mContext.mMetrics.Sample("beryllever_request_seconds",
-                           std::chrono::duration<double>(mContext.mClock.Now() - mStartedAt).count(),
-                           { { "kind", mRequest.mKind } });
+  mContext.mMetrics.Count("beryllever_requests_total",
+                          { { "kind", mRequest.mKind }, { "end", aEnd } });
+  mContext.mMetrics.Sample(
+    "beryllever_request_seconds",
+    std::chrono::duration<double>(mContext.mClock.Now() - mStartedAt).count(),
+    { { "kind", mRequest.mKind } });
 }
 
 PlacementRequest
--- a/src/entry/internal/session.h
+++ b/src/entry/internal/session.h
@@ -38,13 +38,16 @@
 };
 
 /**
- * One request of a caller, from its arrival to the end of its answer. Lives on the
- * traffic thread.
+ * One request of a caller, from its arrival to the end of its answer. Lives on
+ * the traffic thread.
  */
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(SessionContext& aContext, net::HttpExchange* aExchange, CallerRequest aRequest, const std::string& aName);
+  Session(SessionContext& aContext,
+          net::HttpExchange* aExchange,
+          CallerRequest aRequest,
+          const std::string& aName);
   virtual ~Session();
 
   /** Reserves memory and starts the work. */
@@ -60,7 +63,10 @@
   /** Ends the session; the answer has been sent. */
   void Finish(const std::string& aEnd);
   PlacementRequest MakePlacementRequest() const;
-  bool IsPastDeadline() const { return mContext.mClock.Now() >= mRequest.mDeadline; }
+  bool IsPastDeadline() const
+  {
+    return mContext.mClock.Now() >= mRequest.mDeadline;
+  }
 
   template<typename T>
   std::shared_ptr<T> Self()
--- a/src/entry/internal/ticketsession.cpp
+++ b/src/entry/internal/ticketsession.cpp
@@ -47,7 +47,8 @@
 void
 TicketSession::HandleGone()
 {
-  // The request goes on: its outcome belongs to the ticket, for which the caller can ask.
+  // The request goes on: its outcome belongs to the ticket, for which the
+  // caller can ask.
   Finish("caller_gone");
 }
 
@@ -60,7 +61,9 @@
   request.mFixedEndpoint = mTicket ? mTicket->endpoint() : "";
   const auto self = Self<TicketSession>();
   mContext.mRouter.Acquire(
-    std::move(request), mContext.mTraffic, [self](const Decision& aDecision) { self->HandleDecision(aDecision); });
+    std::move(request), mContext.mTraffic, [self](const Decision& aDecision) {
+      self->HandleDecision(aDecision);
+    });
 }
 
 void
@@ -91,14 +94,18 @@
     mContext.mTraffic,
     request,
     UnaryDeadline(),
-    [stub = mPlacement->mStub](auto* aContext, const auto* aRequest, auto* aReply, auto aOnDone) {
+    [stub = mPlacement->mStub](
+      auto* aContext, const auto* aRequest, auto* aReply, auto aOnDone) {
       stub->async()->IssueTicket(aContext, aRequest, aReply, aOnDone);
     },
-    [self](const grpc::Status& aStatus, const v1::Ticket& aTicket) { self->HandleIssued(aStatus, aTicket); });
+    [self](const grpc::Status& aStatus, const v1::Ticket& aTicket) {
+      self->HandleIssued(aStatus, aTicket);
+    });
 }
 
 void
-TicketSession::HandleIssued(const grpc::Status& aStatus, const v1::Ticket& aTicket)
+TicketSession::HandleIssued(const grpc::Status& aStatus,
+                            const v1::Ticket& aTicket)
 {
   // A ticket that was issued but not received is never begun.
   if (!aStatus.ok()) {
@@ -114,7 +121,8 @@
   mTicket = aTicket;
   if (mPurpose == TicketPurpose::Issue) {
     EndAttempt(PlacementEnd::Served);
-    const nlohmann::json body{ { "ticket", transport::EncodeTicket(*mTicket) } };
+    const nlohmann::json body{ { "ticket",
+                                 transport::EncodeTicket(*mTicket) } };
     if (mExchange) {
       AnswerJson(mExchange, 201, body.dump());
     }
@@ -135,8 +143,9 @@
   request.set_traceparent(mSpan.mContext.ToHeader());
   request.set_priority(mRequest.mRoute->mPriority);
   *request.mutable_ticket() = *mTicket;
-  const auto left = std::chrono::duration_cast<std::chrono::system_clock::duration>(mRequest.mDeadline -
-                                                                                   mContext.mClock.Now());
+  const auto left =
+    std::chrono::duration_cast<std::chrono::system_clock::duration>(
+      mRequest.mDeadline - mContext.mClock.Now());
   const uint64_t attempt = ++mAttempt;
   mAnswer.clear();
   const auto self = Self<TicketSession>();
@@ -148,8 +157,12 @@
     [stub](auto* aContext, const auto* aRequest, auto* aReactor) {
       stub->async()->Execute(aContext, aRequest, aReactor);
     },
-    [self, attempt](const v1::ExecuteUpdate& aUpdate) { self->HandleUpdate(attempt, aUpdate); },
-    [self, attempt, stub](const grpc::Status&) { self->HandleCallEnd(attempt); });
+    [self, attempt](const v1::ExecuteUpdate& aUpdate) {
+      self->HandleUpdate(attempt, aUpdate);
+    },
+    [self, attempt, stub](const grpc::Status&) {
+      self->HandleCallEnd(attempt);
+    });
   mCall->Read();
 }
 
@@ -160,7 +173,8 @@
     return;
   }
   if (aUpdate.has_failure()) {
-    HandleFailure({ global::KindNamed(aUpdate.failure().kind()), aUpdate.failure().message() });
+    HandleFailure({ global::KindNamed(aUpdate.failure().kind()),
+                    aUpdate.failure().message() });
   } else if (aUpdate.has_end()) {
     ReplyWhole();
   } else {
@@ -222,15 +236,18 @@
     [stub](auto* aContext, const auto* aRequest, auto* aReply, auto aOnDone) {
       stub->async()->SettleTicket(aContext, aRequest, aReply, aOnDone);
     },
-    [self, stub](const grpc::Status& aStatus, const v1::TicketOutcome& aOutcome) {
+    [self, stub](const grpc::Status& aStatus,
+                 const v1::TicketOutcome& aOutcome) {
       self->HandleSettled(aStatus, aOutcome);
     });
 }
 
 void
-TicketSession::HandleSettled(const grpc::Status& aStatus, const v1::TicketOutcome& aOutcome)
+TicketSession::HandleSettled(const grpc::Status& aStatus,
+                             const v1::TicketOutcome& aOutcome)
 {
-  const bool isRunning = aStatus.ok() && aOutcome.state() == v1::TICKET_STATE_RUNNING;
+  const bool isRunning =
+    aStatus.ok() && aOutcome.state() == v1::TICKET_STATE_RUNNING;
   if ((!aStatus.ok() || isRunning) && !IsSettleOver()) {
     Later(&TicketSession::Settle);
     return;
@@ -250,10 +267,12 @@
       return;
     case v1::TICKET_STATE_FOREIGN:
       EndAttempt(PlacementEnd::Served);
-      Fail({ ErrorKind::UnknownTicket, "the ticket was not issued by its endpoint" });
+      Fail({ ErrorKind::UnknownTicket,
+             "the ticket was not issued by its endpoint" });
       return;
     default:
-      EndUnknown(isRunning ? "the request is still running" : "the endpoint does not know whether it has run");
+      EndUnknown(isRunning ? "the request is still running"
+                           : "the endpoint does not know whether it has run");
   }
 }
 
@@ -261,7 +280,8 @@
 TicketSession::HandleVoid(const std::string& aMessage)
 {
   EndAttempt(PlacementEnd::Refused);
-  const bool mayTryElsewhere = mPurpose == TicketPurpose::Run && !mIsCallersTicket && !IsPastDeadline();
+  const bool mayTryElsewhere =
+    mPurpose == TicketPurpose::Run && !mIsCallersTicket && !IsPastDeadline();
   if (!mayTryElsewhere) {
     mIsOver = true;
     Fail({ ErrorKind::NotRun, aMessage });
@@ -277,7 +297,8 @@
 TicketSession::Later(Step aStep)
 {
   const auto self = Self<TicketSession>();
-  QTimer::singleShot(kRetryDelay, mContext.mTraffic, [self, aStep] { (self.get()->*aStep)(); });
+  QTimer::singleShot(
+    kRetryDelay, mContext.mTraffic, [self, aStep] { (self.get()->*aStep)(); });
 }
 
 void
@@ -286,10 +307,12 @@
   mIsOver = true;
   EndAttempt(PlacementEnd::Served);
   if (mExchange) {
-    mExchange->Reply(mStatus,
-                     { { "Content-Type", QByteArray::fromStdString(mContentType) },
-                       { "X-Ticket", QByteArray::fromStdString(transport::EncodeTicket(*mTicket)) } },
-                     QByteArray::fromStdString(mAnswer));
+    mExchange->Reply(
+      mStatus,
+      { { "Content-Type", QByteArray::fromStdString(mContentType) },
+        { "X-Ticket",
+          QByteArray::fromStdString(transport::EncodeTicket(*mTicket)) } },
+      QByteArray::fromStdString(mAnswer));
     Finish("answered");
   }
 }
@@ -299,7 +322,8 @@
 {
   mIsOver = true;
   EndAttempt(PlacementEnd::Failed);
-  Fail({ ErrorKind::OutcomeUnknown, aMessage }, { .mTicket = transport::EncodeTicket(*mTicket) });
+  Fail({ ErrorKind::OutcomeUnknown, aMessage },
+       { .mTicket = transport::EncodeTicket(*mTicket) });
 }
 
 void
--- a/src/entry/internal/ticketsession.h
+++ b/src/entry/internal/ticketsession.h
@@ -19,9 +19,9 @@
 };
 
 /**
- * A non-idempotent request. It runs under a ticket of one incarnation of one agent,
- * which runs it at most once. If its end is not seen, the ticket is settled, so that
- * "not run" is said only of a request that can never run.
+ * A non-idempotent request. It runs under a ticket of one incarnation of one
+ * agent, which runs it at most once. If its end is not seen, the ticket is
+ * settled, so that "not run" is said only of a request that can never run.
  */
 class TicketSession : public Session
 {
@@ -49,7 +49,8 @@
   void HandleFailure(const global::Error& aError);
   void HandleCallEnd(uint64_t aAttempt);
   void Settle();
-  void HandleSettled(const grpc::Status& aStatus, const v1::TicketOutcome& aOutcome);
+  void HandleSettled(const grpc::Status& aStatus,
+                     const v1::TicketOutcome& aOutcome);
   void HandleVoid(const std::string& aMessage);
   void Later(Step aStep);
   void ReplyWhole();
--- a/src/framework/global/errors.h
+++ b/src/framework/global/errors.h
@@ -9,7 +9,8 @@
 
 namespace leaf = boost::leaf;
 
-/** Closed list of error kinds. Every error that leaves a process is one of these. */
+/** Closed list of error kinds. Every error that leaves a process is one of
+ * these. */
 enum class ErrorKind
 {
   InvalidRequest,
@@ -93,7 +94,9 @@
   return leaf::try_handle_all(
     std::forward<Function>(aFunction),
     [&](const Error& aError) { return aHandler(aError); },
-    [&] { return aHandler(Error{ ErrorKind::Internal, "unexpected error" }); });
+    [&] {
+      return aHandler(Error{ ErrorKind::Internal, "unexpected error" });
+    });
 }
 
 }
--- a/src/framework/global/iclock.h
+++ b/src/framework/global/iclock.h
@@ -7,7 +7,8 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 
-/** Source of monotonic time. Decisions take a clock so that tests can drive it. */
+/** Source of monotonic time. Decisions take a clock so that tests can drive it.
+ */
 class IClock
 {
 public:
--- a/src/framework/global/identifiers.h
+++ b/src/framework/global/identifiers.h
@@ -10,7 +10,8 @@
 uint64_t
 RandomIdentifier();
 
-/** Lower-case hexadecimal text of the given number of bytes, drawn at random. */
+/** Lower-case hexadecimal text of the given number of bytes, drawn at random.
+ */
 std::string
 RandomHex(size_t aBytes);
 
--- a/src/framework/global/internal/identifiers.cpp
+++ b/src/framework/global/internal/identifiers.cpp
@@ -31,7 +31,8 @@
   constexpr char kDigits[] = "0123456789abcdef";
   std::uniform_int_distribution<size_t> digit(0, 15);
   std::string text(aBytes * 2, '0');
-  std::generate(text.begin(), text.end(), [&] { return kDigits[digit(Engine())]; });
+  std::generate(
+    text.begin(), text.end(), [&] { return kDigits[digit(Engine())]; });
   return text;
 }
 
--- a/src/framework/global/tests/errorstest.cpp
+++ b/src/framework/global/tests/errorstest.cpp
@@ -22,9 +22,13 @@
 
 TEST(Errors, ResolveHandsTheErrorToTheHandler)
 {
-  const auto failing = []() -> Result<int> { return Fail(ErrorKind::Overloaded, "full"); };
+  const auto failing = []() -> Result<int> {
+    return Fail(ErrorKind::Overloaded, "full");
+  };
 
-  const int status = Resolve(failing, [](const Error& aError) { return AnswerFor(aError.mKind).mHttpStatus; });
+  const int status = Resolve(failing, [](const Error& aError) {
+    return AnswerFor(aError.mKind).mHttpStatus;
+  });
 
   CHECK_EQUAL(429, status);
 }
--- a/src/framework/kernel/imodule.h
+++ b/src/framework/kernel/imodule.h
@@ -15,7 +15,8 @@
   virtual std::string_view Name() const = 0;
   /** Whether the module takes part in a process with this role. */
   virtual bool IsWanted(std::string_view aRole) const = 0;
-  /** Offers the module's interfaces. No other module's interface is there yet. */
+  /** Offers the module's interfaces. No other module's interface is there yet.
+   */
   virtual void RegisterExports(Kernel& aKernel) = 0;
   /** Starts the work; all interfaces of all modules are there. */
   virtual void Start(Kernel& aKernel) = 0;
--- a/src/framework/kernel/kernel.h
+++ b/src/framework/kernel/kernel.h
@@ -22,7 +22,8 @@
   ModuleRegistrar(int aRank, ModuleFactory aFactory);
 };
 
-/** Owns the modules of a process and the interfaces that they offer to each other. */
+/** Owns the modules of a process and the interfaces that they offer to each
+ * other. */
 class Kernel
 {
 public:
@@ -41,7 +42,8 @@
   {
     const auto it = mServices.find(typeid(Interface));
     if (it == mServices.end()) {
-      throw std::logic_error(std::string("no module offers ") + typeid(Interface).name());
+      throw std::logic_error(std::string("no module offers ") +
+                             typeid(Interface).name());
     }
     return std::static_pointer_cast<Interface>(it->second);
   }
--- a/src/framework/log/internal/log.cpp
+++ b/src/framework/log/internal/log.cpp
@@ -15,7 +15,10 @@
 std::string
 Upper(std::string aText)
 {
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char c) { return std::toupper(c); });
+  std::transform(aText.begin(),
+                 aText.end(),
+                 aText.begin(),
+                 [](unsigned char c) { return std::toupper(c); });
   return aText;
 }
 
@@ -25,8 +28,10 @@
 Start(const std::string& aProcess, const std::string& aLevel)
 {
   sInitializer = std::make_unique<log4cplus::Initializer>();
-  const std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p " + aProcess + " %c: %m%n";
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  const std::string pattern =
+    "%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p " + aProcess + " %c: %m%n";
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.addAppender(appender);
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -4,13 +4,17 @@
 #include <string>
 
 /**
- * Log macros. Each module defines kLogTag; the tag is the fixed prefix of its lines.
- * A line is a short sentence followed by key=value pairs.
+ * Log macros. Each module defines kLogTag; the tag is the fixed prefix of its
+ * lines. A line is a short sentence followed by key=value pairs.
  */
-#define LOGD(aText) LOG4CPLUS_DEBUG(log4cplus::Logger::getInstance(kLogTag), aText)
-#define LOGI(aText) LOG4CPLUS_INFO(log4cplus::Logger::getInstance(kLogTag), aText)
-#define LOGW(aText) LOG4CPLUS_WARN(log4cplus::Logger::getInstance(kLogTag), aText)
-#define LOGE(aText) LOG4CPLUS_ERROR(log4cplus::Logger::getInstance(kLogTag), aText)
+#define LOGD(aText)                                                            \
+  LOG4CPLUS_DEBUG(log4cplus::Logger::getInstance(kLogTag), aText)
+#define LOGI(aText)                                                            \
+  LOG4CPLUS_INFO(log4cplus::Logger::getInstance(kLogTag), aText)
+#define LOGW(aText)                                                            \
+  LOG4CPLUS_WARN(log4cplus::Logger::getInstance(kLogTag), aText)
+#define LOGE(aText)                                                            \
+  LOG4CPLUS_ERROR(log4cplus::Logger::getInstance(kLogTag), aText)
 
 namespace beryllever::log {
 
--- a/src/framework/metrics/internal/metrics.cpp
+++ b/src/framework/metrics/internal/metrics.cpp
@@ -64,22 +64,26 @@
   for (const auto& [key, value] : mCounters) {
     prometheus::ClientMetric metric{ .label = ToPrometheus(key.second) };
     metric.counter.value = static_cast<double>(value);
-    FamilyFor(families, key.first, prometheus::MetricType::Counter).metric.push_back(metric);
+    FamilyFor(families, key.first, prometheus::MetricType::Counter)
+      .metric.push_back(metric);
   }
   for (const auto& [key, value] : mGauges) {
     prometheus::ClientMetric metric{ .label = ToPrometheus(key.second) };
     metric.gauge.value = value;
-    FamilyFor(families, key.first, prometheus::MetricType::Gauge).metric.push_back(metric);
+    FamilyFor(families, key.first, prometheus::MetricType::Gauge)
+      .metric.push_back(metric);
   }
   for (const auto& [key, value] : mDistributions) {
     prometheus::ClientMetric metric{ .label = ToPrometheus(key.second) };
     metric.summary.sample_count = acc::count(value);
     metric.summary.sample_sum = acc::sum(value);
     for (size_t i = 0; i < kQuantiles.size(); ++i) {
-      metric.summary.quantile.push_back({ kQuantiles[i], acc::extended_p_square(value)[i] });
+      metric.summary.quantile.push_back(
+        { kQuantiles[i], acc::extended_p_square(value)[i] });
     }
     metric.summary.quantile.push_back({ 1.0, acc::max(value) });
-    FamilyFor(families, key.first, prometheus::MetricType::Summary).metric.push_back(metric);
+    FamilyFor(families, key.first, prometheus::MetricType::Summary)
+      .metric.push_back(metric);
   }
   std::vector<prometheus::MetricFamily> list;
   for (auto& [name, family] : families) {
--- a/src/framework/metrics/metrics.h
+++ b/src/framework/metrics/metrics.h
@@ -12,16 +12,21 @@
 /** Labels of one series, by name. */
 using Labels = std::map<std::string, std::string>;
 
-/** Figures of a process, kept by Boost.Accumulators. Safe to call from any thread. */
+/** Figures of a process, kept by Boost.Accumulators. Safe to call from any
+ * thread. */
 class Metrics
 {
 public:
   /** Adds to a counter that only grows. */
-  void Count(const std::string& aName, const Labels& aLabels = {}, uint64_t aBy = 1);
+  void Count(const std::string& aName,
+             const Labels& aLabels = {},
+             uint64_t aBy = 1);
   /** Sets a value that may rise and fall. */
   void Set(const std::string& aName, double aValue, const Labels& aLabels = {});
   /** Records one sample of a distribution. */
-  void Sample(const std::string& aName, double aValue, const Labels& aLabels = {});
+  void Sample(const std::string& aName,
+              double aValue,
+              const Labels& aLabels = {});
 
   /** All series in the Prometheus text format. */
   std::string Text() const;
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -51,13 +51,21 @@
 class HttpCall : public QObject
 {
 public:
-  HttpCall(QNetworkAccessManager& aManager, const HttpCallRequest& aRequest, std::chrono::milliseconds aTimeout);
+  HttpCall(QNetworkAccessManager& aManager,
+           const HttpCallRequest& aRequest,
+           std::chrono::milliseconds aTimeout);
   ~HttpCall() override;
 
   /** Called when bytes of the answer can be read. */
-  void SetOnReadable(std::function<void()> aOnReadable) { mOnReadable = std::move(aOnReadable); }
+  void SetOnReadable(std::function<void()> aOnReadable)
+  {
+    mOnReadable = std::move(aOnReadable);
+  }
   /** Called once at the end, after the last OnReadable. */
-  void SetOnEnd(std::function<void(const HttpOutcome&)> aOnEnd) { mOnEnd = std::move(aOnEnd); }
+  void SetOnEnd(std::function<void(const HttpOutcome&)> aOnEnd)
+  {
+    mOnEnd = std::move(aOnEnd);
+  }
 
   int Status() const;
   Headers AllHeaders() const;
--- a/src/framework/net/httpexchange.h
+++ b/src/framework/net/httpexchange.h
@@ -16,7 +16,9 @@
 class HttpExchange : public QObject
 {
 public:
-  HttpExchange(HttpRequest aRequest, QTcpSocket* aSocket, std::function<void()> aOnFinished);
+  HttpExchange(HttpRequest aRequest,
+               QTcpSocket* aSocket,
+               std::function<void()> aOnFinished);
 
   const HttpRequest& Request() const { return mRequest; }
 
@@ -29,16 +31,23 @@
   void WriteChunk(const QByteArray& aChunk);
   /** Ends the chunks; the connection stays open for the next request. */
   void EndStream();
-  /** Closes the connection without an end, so that the caller sees a cut answer. */
+  /** Closes the connection without an end, so that the caller sees a cut
+   * answer. */
   void Abort();
 
   /** Bytes written that the caller's side has not taken yet. */
   qint64 PendingBytes() const;
 
   /** Called each time that pending bytes have shrunk. */
-  void SetOnDrained(std::function<void()> aOnDrained) { mOnDrained = std::move(aOnDrained); }
+  void SetOnDrained(std::function<void()> aOnDrained)
+  {
+    mOnDrained = std::move(aOnDrained);
+  }
   /** Called once if the caller goes away before the end of the answer. */
-  void SetOnGone(std::function<void()> aOnGone) { mOnGone = std::move(aOnGone); }
+  void SetOnGone(std::function<void()> aOnGone)
+  {
+    mOnGone = std::move(aOnGone);
+  }
 
 private:
   void WriteHead(int aStatus, const Headers& aHeaders);
--- a/src/framework/net/httpserver.h
+++ b/src/framework/net/httpserver.h
@@ -16,7 +16,9 @@
 public:
   using Handler = std::function<void(HttpExchange*)>;
 
-  HttpServer(const HttpLimits& aLimits, const global::IClock& aClock, Handler aHandler);
+  HttpServer(const HttpLimits& aLimits,
+             const global::IClock& aClock,
+             Handler aHandler);
 
   /** Listens on an address; returns false if it cannot be had. */
   bool Listen(const QHostAddress& aAddress, quint16 aPort);
@@ -27,8 +29,10 @@
   int OpenExchanges() const { return mOpenExchanges; }
 
 protected:
-  bool handleRequest(const QHttpServerRequest& aRequest, QTcpSocket* aSocket) override;
-  void missingHandler(const QHttpServerRequest& aRequest, QTcpSocket* aSocket) override;
+  bool handleRequest(const QHttpServerRequest& aRequest,
+                     QTcpSocket* aSocket) override;
+  void missingHandler(const QHttpServerRequest& aRequest,
+                      QTcpSocket* aSocket) override;
 
 private:
   HttpLimits mLimits;
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -13,7 +13,8 @@
   for (const auto& [name, value] : aRequest.mHeaders) {
     request.setRawHeader(name, value);
   }
-  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
   request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
   return request;
 }
@@ -39,7 +40,8 @@
   if (!aRequest.mBody.isEmpty()) {
     mBody = std::make_unique<SinglePassBody>(aRequest.mBody);
     request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-    request.setHeader(QNetworkRequest::ContentLengthHeader, aRequest.mBody.size());
+    request.setHeader(QNetworkRequest::ContentLengthHeader,
+                      aRequest.mBody.size());
   }
   mReply = aManager.sendCustomRequest(request, aRequest.mMethod, mBody.get());
   mReply->setReadBufferSize(aRequest.mReadBufferBytes);
@@ -62,7 +64,10 @@
   disconnect(mReply, nullptr, this, nullptr);
   mReply->abort();
   // The reply reads the body until it is deleted.
-  connect(mReply, &QObject::destroyed, mReply, [body = std::shared_ptr<SinglePassBody>(std::move(mBody))] {});
+  connect(mReply,
+          &QObject::destroyed,
+          mReply,
+          [body = std::shared_ptr<SinglePassBody>(std::move(mBody))] {});
   mReply->deleteLater();
 }
 
@@ -96,11 +101,17 @@
   mTimer.stop();
   HttpOutcome outcome;
   outcome.mStatus = Status();
-  // An answer with an error status is complete as well: Qt reports those from 201 upwards in its range.
-  const bool isHttpError = mReply->error() >= QNetworkReply::ContentAccessDenied;
-  outcome.mIsComplete = outcome.mStatus != 0 && !mIsTimedOut && (mReply->error() == QNetworkReply::NoError || isHttpError);
+  // An answer with an error status is complete as well: Qt reports those from
+  // 201 upwards in its range.
+  const bool isHttpError =
+    mReply->error() >= QNetworkReply::ContentAccessDenied;
+  outcome.mIsComplete =
+    outcome.mStatus != 0 && !mIsTimedOut &&
+    (mReply->error() == QNetworkReply::NoError || isHttpError);
   outcome.mIsSent = !mBody || mBody->IsTouched();
-  outcome.mReason = mIsTimedOut ? QStringLiteral("no answer within the time limit") : mReply->errorString();
+  outcome.mReason = mIsTimedOut
+                      ? QStringLiteral("no answer within the time limit")
+                      : mReply->errorString();
   if (mOnEnd) {
     const auto onEnd = mOnEnd;
     onEnd(outcome);
@@ -116,7 +127,8 @@
   HttpCallRequest request = aRequest;
   request.mReadBufferBytes = 0;
   auto* call = new HttpCall(aManager, request, aTimeout);
-  call->SetOnEnd([call, aOnEnd = std::move(aOnEnd)](const HttpOutcome& aOutcome) {
+  call->SetOnEnd([call,
+                  aOnEnd = std::move(aOnEnd)](const HttpOutcome& aOutcome) {
     const HttpAnswer answer{ call->AllHeaders(), call->Read(call->Readable()) };
     call->deleteLater();
     aOnEnd(aOutcome, answer);
--- a/src/framework/net/internal/httpexchange.cpp
+++ b/src/framework/net/internal/httpexchange.cpp
@@ -17,12 +17,15 @@
 
 }
 
-HttpExchange::HttpExchange(HttpRequest aRequest, QTcpSocket* aSocket, std::function<void()> aOnFinished)
+HttpExchange::HttpExchange(HttpRequest aRequest,
+                           QTcpSocket* aSocket,
+                           std::function<void()> aOnFinished)
   : mRequest(std::move(aRequest))
   , mSocket(aSocket)
   , mOnFinished(std::move(aOnFinished))
 {
-  connect(aSocket, &QTcpSocket::disconnected, this, [this] { HandleDisconnected(); });
+  connect(
+    aSocket, &QTcpSocket::disconnected, this, [this] { HandleDisconnected(); });
   connect(aSocket, &QTcpSocket::bytesWritten, this, [this] {
     if (mOnDrained && !mIsFinished) {
       mOnDrained();
@@ -31,13 +34,16 @@
 }
 
 void
-HttpExchange::Reply(int aStatus, const Headers& aHeaders, const QByteArray& aBody)
+HttpExchange::Reply(int aStatus,
+                    const Headers& aHeaders,
+                    const QByteArray& aBody)
 {
   if (mIsFinished) {
     return;
   }
   Headers headers = aHeaders;
-  headers.append(qMakePair(QByteArray("Content-Length"), QByteArray::number(aBody.size())));
+  headers.append(
+    qMakePair(QByteArray("Content-Length"), QByteArray::number(aBody.size())));
   WriteHead(aStatus, headers);
   mSocket->write(aBody);
   Finish();
@@ -50,7 +56,8 @@
     return;
   }
   Headers headers = aHeaders;
-  headers.append(qMakePair(QByteArray("Transfer-Encoding"), QByteArray("chunked")));
+  headers.append(
+    qMakePair(QByteArray("Transfer-Encoding"), QByteArray("chunked")));
   WriteHead(aStatus, headers);
 }
 
@@ -60,7 +67,8 @@
   if (mIsFinished || aChunk.isEmpty()) {
     return;
   }
-  mSocket->write(QByteArray::number(aChunk.size(), 16) + "\r\n" + aChunk + "\r\n");
+  mSocket->write(QByteArray::number(aChunk.size(), 16) + "\r\n" + aChunk +
+                 "\r\n");
 }
 
 void
@@ -94,7 +102,8 @@
 void
 HttpExchange::WriteHead(int aStatus, const Headers& aHeaders)
 {
-  QByteArray head = "HTTP/1.1 " + QByteArray::number(aStatus) + " " + ReasonFor(aStatus) + "\r\n";
+  QByteArray head = "HTTP/1.1 " + QByteArray::number(aStatus) + " " +
+                    ReasonFor(aStatus) + "\r\n";
   for (const auto& [name, value] : aHeaders) {
     head += name + ": " + value + "\r\n";
   }
--- a/src/framework/net/internal/httpserver.cpp
+++ b/src/framework/net/internal/httpserver.cpp
@@ -15,9 +15,12 @@
 {
   HttpRequest request;
   const auto methods = QMetaEnum::fromType<QHttpServerRequest::Method>();
-  request.mMethod = QByteArray(methods.valueToKey(static_cast<int>(aRequest.method()))).toUpper();
+  request.mMethod =
+    QByteArray(methods.valueToKey(static_cast<int>(aRequest.method())))
+      .toUpper();
   request.mPath = aRequest.url().path().toUtf8();
-  for (const auto& [name, value] : aRequest.query().queryItems(QUrl::FullyDecoded)) {
+  for (const auto& [name, value] :
+       aRequest.query().queryItems(QUrl::FullyDecoded)) {
     request.mQuery.insert(name.toUtf8(), value.toUtf8());
   }
   for (const auto& [name, value] : aRequest.headers()) {
@@ -29,7 +32,9 @@
 
 }
 
-HttpServer::HttpServer(const HttpLimits& aLimits, const global::IClock& aClock, Handler aHandler)
+HttpServer::HttpServer(const HttpLimits& aLimits,
+                       const global::IClock& aClock,
+                       Handler aHandler)
   : mLimits(aLimits)
   , mClock(aClock)
   , mHandler(std::move(aHandler))
@@ -64,10 +69,12 @@
 }
 
 bool
-HttpServer::handleRequest(const QHttpServerRequest& aRequest, QTcpSocket* aSocket)
+HttpServer::handleRequest(const QHttpServerRequest& aRequest,
+                          QTcpSocket* aSocket)
 {
   auto* socket = static_cast<LimitedSocket*>(aSocket);
-  // A second request before the end of the first answer would mix the two answers.
+  // A second request before the end of the first answer would mix the two
+  // answers.
   if (socket->IsBusy()) {
     socket->abort();
     return true;
--- a/src/framework/net/internal/limitedtcpserver.cpp
+++ b/src/framework/net/internal/limitedtcpserver.cpp
@@ -11,11 +11,13 @@
 
 }
 
-LimitedSocket::LimitedSocket(const HttpLimits& aLimits, const global::IClock& aClock)
+LimitedSocket::LimitedSocket(const HttpLimits& aLimits,
+                             const global::IClock& aClock)
   : mLimits(aLimits)
   , mClock(aClock)
 {
-  // Qt keeps an incomplete request in this buffer, so its size caps what a request can hold.
+  // Qt keeps an incomplete request in this buffer, so its size caps what a
+  // request can hold.
   setReadBufferSize(aLimits.mHeaderBytes + aLimits.mBodyBytes + 1);
   connect(this, &QIODevice::readyRead, this, [this] { Inspect(); });
 }
@@ -51,7 +53,8 @@
   mArrivedBytes += bytesAvailable();
   if (mHeaderBytes < 0 && mArrivedBytes > mLimits.mHeaderBytes) {
     Refuse(431, "header_too_large");
-  } else if (mHeaderBytes >= 0 && mArrivedBytes - mHeaderBytes > mLimits.mBodyBytes) {
+  } else if (mHeaderBytes >= 0 &&
+             mArrivedBytes - mHeaderBytes > mLimits.mBodyBytes) {
     Refuse(413, "body_too_large");
   }
 }
@@ -76,15 +79,21 @@
 {
   mIsRefused = true;
   mRequestDeadline = global::TimePoint::max();
-  const QByteArray body = "{\"error\":{\"kind\":\"" + aKind + "\",\"execution\":\"not_run\"}}";
-  write("HTTP/1.1 " + QByteArray::number(aStatus) + " Refused\r\nContent-Type: application/json\r\nX-Error-Kind: " +
-        aKind + "\r\nConnection: close\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body);
+  const QByteArray body =
+    "{\"error\":{\"kind\":\"" + aKind + "\",\"execution\":\"not_run\"}}";
+  write("HTTP/1.1 " + QByteArray::number(aStatus) +
+        " Refused\r\nContent-Type: application/json\r\nX-Error-Kind: " + aKind +
+        "\r\nConnection: close\r\nContent-Length: " +
+        QByteArray::number(body.size()) + "\r\n\r\n" + body);
   flush();
-  // Qt's own handler still runs for this signal; the connection is closed after it.
-  QMetaObject::invokeMethod(this, [this] { disconnectFromHost(); }, Qt::QueuedConnection);
+  // Qt's own handler still runs for this signal; the connection is closed after
+  // it.
+  QMetaObject::invokeMethod(
+    this, [this] { disconnectFromHost(); }, Qt::QueuedConnection);
 }
 
-LimitedTcpServer::LimitedTcpServer(const HttpLimits& aLimits, const global::IClock& aClock)
+LimitedTcpServer::LimitedTcpServer(const HttpLimits& aLimits,
+                                   const global::IClock& aClock)
   : mLimits(aLimits)
   , mClock(aClock)
 {
@@ -102,7 +111,8 @@
 {
   auto* socket = new LimitedSocket(mLimits, mClock);
   socket->setSocketDescriptor(aDescriptor);
-  socket->setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, mLimits.mSendBufferBytes);
+  socket->setSocketOption(QAbstractSocket::SendBufferSizeSocketOption,
+                          mLimits.mSendBufferBytes);
   socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   if (mSockets.size() >= mLimits.mConnections) {
     connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
@@ -110,8 +120,12 @@
     return;
   }
   mSockets.insert(socket);
-  connect(socket, &QObject::destroyed, this, [this, socket] { mSockets.remove(socket); });
-  connect(socket, &QTcpSocket::disconnected, this, [this, socket] { mSockets.remove(socket); });
+  connect(socket, &QObject::destroyed, this, [this, socket] {
+    mSockets.remove(socket);
+  });
+  connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
+    mSockets.remove(socket);
+  });
   addPendingConnection(socket);
 }
 
--- a/src/framework/net/internal/limitedtcpserver.h
+++ b/src/framework/net/internal/limitedtcpserver.h
@@ -3,10 +3,10 @@
 #include "framework/global/iclock.h"
 #include "framework/net/nettypes.h"
 
+#include <QSet>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
-#include <QSet>
 
 namespace beryllever::net {
 
--- a/src/framework/net/internal/singlepassbody.h
+++ b/src/framework/net/internal/singlepassbody.h
@@ -5,9 +5,9 @@
 namespace beryllever::net {
 
 /**
- * Request body that can be sent only once. QNetworkAccessManager sends a request
- * again after some connection errors; a sequential device that refuses to be
- * reset keeps it from doing so.
+ * Request body that can be sent only once. QNetworkAccessManager sends a
+ * request again after some connection errors; a sequential device that refuses
+ * to be reset keeps it from doing so.
  */
 class SinglePassBody : public QIODevice
 {
@@ -16,7 +16,10 @@
 
   bool isSequential() const override { return true; }
   bool reset() override { return false; }
-  qint64 bytesAvailable() const override { return mBody.size() - mPosition + QIODevice::bytesAvailable(); }
+  qint64 bytesAvailable() const override
+  {
+    return mBody.size() - mPosition + QIODevice::bytesAvailable();
+  }
   /** Whether any byte has been handed to a connection. */
   bool IsTouched() const { return mPosition > 0; }
 
--- a/src/framework/net/nettypes.h
+++ b/src/framework/net/nettypes.h
@@ -33,7 +33,10 @@
   QMap<QByteArray, QByteArray> mHeaders;
   QByteArray mBody;
 
-  QByteArray Header(const QByteArray& aName) const { return mHeaders.value(aName); }
+  QByteArray Header(const QByteArray& aName) const
+  {
+    return mHeaders.value(aName);
+  }
 };
 
 }
--- a/src/framework/net/tests/httpcalltest.cpp
+++ b/src/framework/net/tests/httpcalltest.cpp
@@ -25,10 +25,15 @@
     : mTreatment(aTreatment)
   {
     mServer.listen(QHostAddress::LocalHost);
-    QObject::connect(&mServer, &QTcpServer::newConnection, [this] { Accept(); });
+    QObject::connect(
+      &mServer, &QTcpServer::newConnection, [this] { Accept(); });
   }
 
-  QUrl Url() const { return QUrl(QStringLiteral("http://127.0.0.1:%1/unlock").arg(mServer.serverPort())); }
+  QUrl Url() const
+  {
+    return QUrl(
+      QStringLiteral("http://127.0.0.1:%1/unlock").arg(mServer.serverPort()));
+  }
   int Arrivals() const { return mArrivals; }
 
 private:
@@ -118,7 +123,8 @@
 {
   QTcpServer closed;
   closed.listen(QHostAddress::LocalHost);
-  const QUrl url(QStringLiteral("http://127.0.0.1:%1/").arg(closed.serverPort()));
+  const QUrl url(
+    QStringLiteral("http://127.0.0.1:%1/").arg(closed.serverPort()));
   closed.close();
   QNetworkAccessManager manager;
 
--- a/src/framework/net/tests/httpservertest.cpp
+++ b/src/framework/net/tests/httpservertest.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** Sends bytes and returns all that comes back until the connection closes or the text is seen. */
+/** Sends bytes and returns all that comes back until the connection closes or
+ * the text is seen. */
 QByteArray
 Converse(quint16 aPort, const QByteArray& aBytes, const QByteArray& aUntil)
 {
@@ -37,14 +38,20 @@
 {
   global::ManualClock clock;
   int handled = 0;
-  net::HttpLimits limits{ .mHeaderBytes = 1024, .mBodyBytes = 4096, .mConnections = 2 };
+  net::HttpLimits limits{ .mHeaderBytes = 1024,
+                          .mBodyBytes = 4096,
+                          .mConnections = 2 };
 
   std::unique_ptr<net::HttpServer> Serve()
   {
-    auto server = std::make_unique<net::HttpServer>(limits, clock, [this](net::HttpExchange* aExchange) {
-      ++handled;
-      aExchange->Reply(200, {}, "got " + QByteArray::number(aExchange->Request().mBody.size()));
-    });
+    auto server = std::make_unique<net::HttpServer>(
+      limits, clock, [this](net::HttpExchange* aExchange) {
+        ++handled;
+        aExchange->Reply(
+          200,
+          {},
+          "got " + QByteArray::number(aExchange->Request().mBody.size()));
+      });
     CHECK(server->Listen(QHostAddress::LocalHost, 0));
     return server;
   }
@@ -54,7 +61,10 @@
 {
   const auto server = Serve();
 
-  const auto answer = Converse(server->Port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "got 3");
+  const auto answer =
+    Converse(server->Port(),
+             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+             "got 3");
 
   CHECK(answer.startsWith("HTTP/1.1 200"));
 }
@@ -63,8 +73,11 @@
 {
   const auto server = Serve();
 
-  const auto answer = Converse(
-    server->Port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 400000000\r\n\r\n" + QByteArray(6000, 'x'), "too_large");
+  const auto answer =
+    Converse(server->Port(),
+             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 400000000\r\n\r\n" +
+               QByteArray(6000, 'x'),
+             "too_large");
 
   CHECK(answer.startsWith("HTTP/1.1 413"));
   CHECK_EQUAL(0, handled);
@@ -74,7 +87,10 @@
 {
   const auto server = Serve();
 
-  const auto answer = Converse(server->Port(), "GET / HTTP/1.1\r\nX-A: " + QByteArray(2000, 'x'), "too_large");
+  const auto answer =
+    Converse(server->Port(),
+             "GET / HTTP/1.1\r\nX-A: " + QByteArray(2000, 'x'),
+             "too_large");
 
   CHECK(answer.startsWith("HTTP/1.1 431"));
   CHECK_EQUAL(0, handled);
@@ -85,7 +101,8 @@
   const auto server = Serve();
   QTimer::singleShot(100, [this] { clock.Advance(std::chrono::minutes(1)); });
 
-  const auto answer = Converse(server->Port(), "GET / HTTP/1.1\r\nX-A: ", "request_timeout");
+  const auto answer =
+    Converse(server->Port(), "GET / HTTP/1.1\r\nX-A: ", "request_timeout");
 
   CHECK(answer.startsWith("HTTP/1.1 408"));
 }
@@ -97,11 +114,13 @@
   QTcpSocket second;
   first.connectToHost(QHostAddress::LocalHost, server->Port());
   second.connectToHost(QHostAddress::LocalHost, server->Port());
-  while (first.state() != QAbstractSocket::ConnectedState || second.state() != QAbstractSocket::ConnectedState) {
+  while (first.state() != QAbstractSocket::ConnectedState ||
+         second.state() != QAbstractSocket::ConnectedState) {
     QCoreApplication::processEvents(QEventLoop::AllEvents, 50);
   }
 
-  const auto answer = Converse(server->Port(), "GET / HTTP/1.1\r\n\r\n", "too_many_connections");
+  const auto answer =
+    Converse(server->Port(), "GET / HTTP/1.1\r\n\r\n", "too_many_connections");
 
   CHECK(answer.startsWith("HTTP/1.1 503"));
 }
--- a/src/framework/settings/internal/jsondocument.cpp
+++ b/src/framework/settings/internal/jsondocument.cpp
@@ -21,7 +21,8 @@
   std::string path;
   std::string reason;
   valijson::ValidationResults::Error error;
-  // The first error is the outermost; the most specific one has the longest path.
+  // The first error is the outermost; the most specific one has the longest
+  // path.
   while (aResults.popError(error)) {
     std::string place;
     for (const std::string& part : error.context) {
@@ -48,15 +49,20 @@
 }
 
 global::Result<void>
-CheckSchema(const Json& aDocument, const std::string& aSchema, const std::string& aSource)
+CheckSchema(const Json& aDocument,
+            const std::string& aSchema,
+            const std::string& aSource)
 {
   const Json schemaJson = Json::parse(aSchema);
   valijson::Schema schema;
-  valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaJson), schema);
+  valijson::SchemaParser().populateSchema(
+    valijson::adapters::NlohmannJsonAdapter(schemaJson), schema);
   valijson::ValidationResults results;
   valijson::Validator validator(valijson::Validator::kStrongTypes);
-  if (!validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(aDocument), &results)) {
-    return Fail(ErrorKind::InvalidConfiguration, aSource + ": " + FirstReason(results));
+  if (!validator.validate(
+        schema, valijson::adapters::NlohmannJsonAdapter(aDocument), &results)) {
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": " + FirstReason(results));
   }
   return {};
 }
--- a/src/framework/settings/jsondocument.h
+++ b/src/framework/settings/jsondocument.h
@@ -9,13 +9,17 @@
 
 using Json = nlohmann::json;
 
-/** Parses JSON with comments. Error: InvalidConfiguration with line and column. */
+/** Parses JSON with comments. Error: InvalidConfiguration with line and column.
+ */
 global::Result<Json>
 ParseJson(const std::string& aText, const std::string& aSource);
 
-/** Checks a document against a JSON Schema. Error: InvalidConfiguration with path and reason. */
+/** Checks a document against a JSON Schema. Error: InvalidConfiguration with
+ * path and reason. */
 global::Result<void>
-CheckSchema(const Json& aDocument, const std::string& aSchema, const std::string& aSource);
+CheckSchema(const Json& aDocument,
+            const std::string& aSchema,
+            const std::string& aSource);
 
 /** Reads a file as text. Error: InvalidConfiguration. */
 global::Result<std::string>
