--- a/src/framework/settings/tests/jsondocumenttest.cpp
+++ b/src/framework/settings/tests/jsondocumenttest.cpp
@@ -10,11 +10,13 @@
 Message(const std::function<global::Result<void>()>& aFunction)
 {
   std::string message = "accepted";
-  global::Resolve(aFunction, [&](const global::Error& aError) { message = aError.mMessage; });
+  global::Resolve(
+    aFunction, [&](const global::Error& aError) { message = aError.mMessage; });
   return message;
 }
 
-const char* const kSchema = R"({"type":"object","properties":{"port":{"type":"integer"}},"additionalProperties":false})";
+const char* const kSchema =
+  R"({"type":"object","properties":{"port":{"type":"integer"}},"additionalProperties":false})";
 
 }
 
@@ -32,8 +34,10 @@
 
 TEST(JsonDocument, ABadValueIsNamedWithItsPlace)
 {
-  const auto message = Message(
-    []() { return settings::CheckSchema(settings::Json{ { "port", "one" } }, kSchema, "settings.json"); });
+  const auto message = Message([]() {
+    return settings::CheckSchema(
+      settings::Json{ { "port", "one" } }, kSchema, "settings.json");
+  });
 
   CHECK(message.find("settings.json") != std::string::npos);
   CHECK(message.find("[port]") != std::string::npos);
--- a/src/framework/tracing/internal/tracer.cpp
+++ b/src/framework/tracing/internal/tracer.cpp
@@ -19,7 +19,9 @@
 std::string
 Nanoseconds(std::chrono::system_clock::time_point aTime)
 {
-  return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(aTime.time_since_epoch()).count());
+  return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(
+                          aTime.time_since_epoch())
+                          .count());
 }
 
 Json
@@ -56,7 +58,8 @@
 TraceContext
 ParseTraceparent(const std::string& aHeader)
 {
-  static const std::regex sPattern("00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}");
+  static const std::regex sPattern(
+    "00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}");
   if (std::smatch match; std::regex_match(aHeader, match, sPattern)) {
     return { match[1], match[2] };
   }
@@ -105,10 +108,15 @@
   for (const Span& span : ended) {
     spans.push_back(ToJson(span));
   }
-  const Json scope{ { "scope", { { "name", "beryllever" } } }, { "spans", spans } };
-  const Json resource{ { "attributes", Json::array({ Attribute("service.name", mServiceName) }) } };
+  const Json scope{ { "scope", { { "name", "beryllever" } } },
+                    { "spans", spans } };
+  const Json resource{
+    { "attributes", Json::array({ Attribute("service.name", mServiceName) }) }
+  };
   const Json request{ { "resourceSpans",
-                        Json::array({ { { "resource", resource }, { "scopeSpans", Json::array({ scope }) } } }) } };
+                        Json::array(
+                          { { { "resource", resource },
+                              { "scopeSpans", Json::array({ scope }) } } }) } };
   return request.dump();
 }
 
--- a/src/framework/tracing/tests/tracertest.cpp
+++ b/src/framework/tracing/tests/tracertest.cpp
@@ -18,7 +18,8 @@
 TEST(Tracer, AChildKeepsTheTraceAndNamesItsParent)
 {
   Tracer tracer("entry-1");
-  const TraceContext parent = ParseTraceparent("00-0123456789abcdef0123456789abcdef-0123456789abcdef-01");
+  const TraceContext parent =
+    ParseTraceparent("00-0123456789abcdef0123456789abcdef-0123456789abcdef-01");
 
   tracer.Finish(tracer.Start(parent, "route"));
 
--- a/src/framework/tracing/tracer.h
+++ b/src/framework/tracing/tracer.h
@@ -32,7 +32,8 @@
   std::map<std::string, std::string> mAttributes;
 };
 
-/** Starts spans and keeps the ended ones until they are exported. Safe to call from any thread. */
+/** Starts spans and keeps the ended ones until they are exported. Safe to call
+ * from any thread. */
 class Tracer
 {
 public:
@@ -42,7 +43,8 @@
   Span Start(const TraceContext& aParent, const std::string& aName) const;
   /** Ends a span. Under pressure the oldest spans are dropped. */
   void Finish(Span aSpan);
-  /** Takes all ended spans as one OTLP/HTTP JSON request; empty if there are none. */
+  /** Takes all ended spans as one OTLP/HTTP JSON request; empty if there are
+   * none. */
   std::string TakeOtlp();
 
 private:
--- a/src/operations/internal/operatorpages.cpp
+++ b/src/operations/internal/operatorpages.cpp
@@ -11,15 +11,19 @@
 void
 ReplyJson(net::HttpExchange* aExchange, int aStatus, const Json& aJson)
 {
-  aExchange->Reply(
-    aStatus, { { "Content-Type", "application/json" } }, QByteArray::fromStdString(aJson.dump(2) + "\n"));
+  aExchange->Reply(aStatus,
+                   { { "Content-Type", "application/json" } },
+                   QByteArray::fromStdString(aJson.dump(2) + "\n"));
 }
 
 }
 
-OperatorPages::OperatorPages(const global::IClock& aClock, metrics::Metrics& aMetrics)
+OperatorPages::OperatorPages(const global::IClock& aClock,
+                             metrics::Metrics& aMetrics)
   : mMetrics(aMetrics)
-  , mServer({ .mConnections = kMaxConnections }, aClock, [this](net::HttpExchange* aExchange) { Handle(aExchange); })
+  , mServer({ .mConnections = kMaxConnections },
+            aClock,
+            [this](net::HttpExchange* aExchange) { Handle(aExchange); })
 {
 }
 
@@ -56,8 +60,9 @@
   } else if (path == "/readyz") {
     AnswerReadiness(aExchange);
   } else if (path == "/metrics") {
-    aExchange->Reply(
-      200, { { "Content-Type", "text/plain; version=0.0.4" } }, QByteArray::fromStdString(mMetrics.Text()));
+    aExchange->Reply(200,
+                     { { "Content-Type", "text/plain; version=0.0.4" } },
+                     QByteArray::fromStdString(mMetrics.Text()));
   } else if (path == "/status") {
     AnswerStatus(aExchange);
   } else if (const auto it = mPages.find(path); it != mPages.end()) {
@@ -72,7 +77,9 @@
 {
   for (const auto& condition : mConditions) {
     if (const std::string reason = condition(); !reason.empty()) {
-      aExchange->Reply(503, { { "Content-Type", "text/plain" } }, QByteArray::fromStdString(reason + "\n"));
+      aExchange->Reply(503,
+                       { { "Content-Type", "text/plain" } },
+                       QByteArray::fromStdString(reason + "\n"));
       return;
     }
   }
--- a/src/operations/internal/spanexporter.cpp
+++ b/src/operations/internal/spanexporter.cpp
@@ -11,7 +11,9 @@
 
 }
 
-SpanExporter::SpanExporter(QNetworkAccessManager& aManager, tracing::Tracer& aTracer, const std::string& aCollector)
+SpanExporter::SpanExporter(QNetworkAccessManager& aManager,
+                           tracing::Tracer& aTracer,
+                           const std::string& aCollector)
   : mManager(aManager)
   , mTracer(aTracer)
   , mCollector(QString::fromStdString(aCollector))
--- a/src/operations/ioperatorpages.h
+++ b/src/operations/ioperatorpages.h
@@ -9,7 +9,8 @@
 
 namespace beryllever::operations {
 
-/** Pages for operators: health, readiness, metrics, status and what modules add. */
+/** Pages for operators: health, readiness, metrics, status and what modules
+ * add. */
 class IOperatorPages
 {
 public:
@@ -21,8 +22,10 @@
   /** Adds a page of its own, answered in JSON. */
   virtual void AddPage(const std::string& aPath, Page aPage) = 0;
   /** Adds a part to the status page. */
-  virtual void AddStatus(const std::string& aName, std::function<settings::Json()> aPart) = 0;
-  /** Adds a condition of readiness; it returns a reason, or nothing if it holds. */
+  virtual void AddStatus(const std::string& aName,
+                         std::function<settings::Json()> aPart) = 0;
+  /** Adds a condition of readiness; it returns a reason, or nothing if it
+   * holds. */
   virtual void AddReadiness(std::function<std::string()> aCondition) = 0;
 };
 
--- a/src/operations/operatorpages.h
+++ b/src/operations/operatorpages.h
@@ -19,7 +19,8 @@
   bool Listen(const std::string& aHost, uint16_t aPort);
 
   void AddPage(const std::string& aPath, Page aPage) override;
-  void AddStatus(const std::string& aName, std::function<settings::Json()> aPart) override;
+  void AddStatus(const std::string& aName,
+                 std::function<settings::Json()> aPart) override;
   void AddReadiness(std::function<std::string()> aCondition) override;
 
 private:
--- a/src/platform/consulplatform.h
+++ b/src/platform/consulplatform.h
@@ -11,16 +11,18 @@
 namespace beryllever::platform {
 
 /**
- * Reads the platform through the HTTP interface of Consul: the key-value store for
- * the documents and the catalog for the VMs, both with blocking queries. All
- * documents come in one answer, so that they are one snapshot.
+ * Reads the platform through the HTTP interface of Consul: the key-value store
+ * for the documents and the catalog for the VMs, both with blocking queries.
+ * All documents come in one answer, so that they are one snapshot.
  */
 class ConsulPlatform : public IPlatform
 {
 public:
-  ConsulPlatform(QNetworkAccessManager& aManager, std::vector<std::string> aAddresses);
+  ConsulPlatform(QNetworkAccessManager& aManager,
+                 std::vector<std::string> aAddresses);
 
-  void SetOnDocuments(std::function<void(DocumentSnapshot)> aOnDocuments) override;
+  void SetOnDocuments(
+    std::function<void(DocumentSnapshot)> aOnDocuments) override;
   void SetOnVms(std::function<void(VmSnapshot)> aOnVms) override;
   void SetOnContact(std::function<void()> aOnContact) override;
   void StartWatching() override;
@@ -40,7 +42,9 @@
 
   void Watch(Subject& aSubject);
   void Request(Subject& aSubject, bool aIsBlocking);
-  void HandleAnswer(Subject& aSubject, const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer);
+  void HandleAnswer(Subject& aSubject,
+                    const net::HttpOutcome& aOutcome,
+                    const net::HttpAnswer& aAnswer);
   void TakeDocuments(const std::string& aBody, uint64_t aRevision);
   void TakeVms(const std::string& aBody, uint64_t aRevision);
 
--- a/src/platform/internal/consulanswers.cpp
+++ b/src/platform/internal/consulanswers.cpp
@@ -23,10 +23,13 @@
 DocumentFrom(const Json& aPair)
 {
   const std::string key = aPair.at("Key");
-  const std::string value = aPair.at("Value").is_null() ? "" : aPair.at("Value").get<std::string>();
-  return { key.substr(sizeof(kFolder) - 1),
-           QByteArray::fromBase64(QByteArray::fromStdString(value)).toStdString(),
-           aPair.at("ModifyIndex").get<uint64_t>() };
+  const std::string value =
+    aPair.at("Value").is_null() ? "" : aPair.at("Value").get<std::string>();
+  return {
+    key.substr(sizeof(kFolder) - 1),
+    QByteArray::fromBase64(QByteArray::fromStdString(value)).toStdString(),
+    aPair.at("ModifyIndex").get<uint64_t>()
+  };
 }
 
 configuration::Vm
@@ -39,8 +42,9 @@
            .mCallerAddress = meta.value(kCallerKey, ""),
            .mPeerAddress = meta.value(kPeerKey, ""),
            .mOperatorAddress = meta.value(kOperatorKey, ""),
-           .mState = meta.value(kStateKey, "live") == "leaving" ? configuration::VmState::Leaving
-                                                                : configuration::VmState::Live };
+           .mState = meta.value(kStateKey, "live") == "leaving"
+                       ? configuration::VmState::Leaving
+                       : configuration::VmState::Live };
 }
 
 }
@@ -55,7 +59,8 @@
     }
     return documents;
   } catch (const Json::exception& error) {
-    return Fail(ErrorKind::InvalidConfiguration, std::string("answer about documents: ") + error.what());
+    return Fail(ErrorKind::InvalidConfiguration,
+                std::string("answer about documents: ") + error.what());
   }
 }
 
@@ -71,7 +76,8 @@
     }
     return vms;
   } catch (const Json::exception& error) {
-    return Fail(ErrorKind::InvalidConfiguration, std::string("answer about VMs: ") + error.what());
+    return Fail(ErrorKind::InvalidConfiguration,
+                std::string("answer about VMs: ") + error.what());
   }
 }
 
--- a/src/platform/internal/consulplatform.cpp
+++ b/src/platform/internal/consulplatform.cpp
@@ -20,24 +20,29 @@
 std::chrono::milliseconds
 Backoff(size_t aFailures)
 {
-  const auto ceiling = std::min(kMaxBackoff, kMinBackoff * (1 << std::min<size_t>(aFailures, 5)));
+  const auto ceiling =
+    std::min(kMaxBackoff, kMinBackoff * (1 << std::min<size_t>(aFailures, 5)));
   thread_local std::mt19937 random{ std::random_device{}() };
-  std::uniform_int_distribution<int64_t> jitter(ceiling.count() / 2, ceiling.count());
+  std::uniform_int_distribution<int64_t> jitter(ceiling.count() / 2,
+                                                ceiling.count());
   return std::chrono::milliseconds(jitter(random));
 }
 
 }
 
-ConsulPlatform::ConsulPlatform(QNetworkAccessManager& aManager, std::vector<std::string> aAddresses)
+ConsulPlatform::ConsulPlatform(QNetworkAccessManager& aManager,
+                               std::vector<std::string> aAddresses)
   : mManager(aManager)
   , mAddresses(std::move(aAddresses))
-  , mSubjects{ { "/v1/kv/beryllever/?recurse=true", &ConsulPlatform::TakeDocuments },
+  , mSubjects{ { "/v1/kv/beryllever/?recurse=true",
+                 &ConsulPlatform::TakeDocuments },
                { "/v1/catalog/nodes?", &ConsulPlatform::TakeVms } }
 {
 }
 
 void
-ConsulPlatform::SetOnDocuments(std::function<void(DocumentSnapshot)> aOnDocuments)
+ConsulPlatform::SetOnDocuments(
+  std::function<void(DocumentSnapshot)> aOnDocuments)
 {
   mOnDocuments = std::move(aOnDocuments);
 }
@@ -100,37 +105,45 @@
 void
 ConsulPlatform::Request(Subject& aSubject, bool aIsBlocking)
 {
-  const std::string& address = mAddresses[aSubject.mFailures % mAddresses.size()];
+  const std::string& address =
+    mAddresses[aSubject.mFailures % mAddresses.size()];
   QString url = QString::fromStdString(address) + aSubject.mPath;
   auto timeout = kAnswerTime;
   if (aIsBlocking && aSubject.mSeen > 0) {
-    url += QStringLiteral("&index=%1&wait=%2s").arg(aSubject.mSeen).arg(kWait.count());
+    url += QStringLiteral("&index=%1&wait=%2s")
+             .arg(aSubject.mSeen)
+             .arg(kWait.count());
     timeout += kWait;
   }
-  net::Fetch(
-    mManager,
-    { .mMethod = "GET", .mUrl = QUrl(url) },
-    timeout,
-    [this, &aSubject, aIsBlocking](const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer) {
-      HandleAnswer(aSubject, aOutcome, aAnswer);
-      if (!aIsBlocking) {
-        return;
-      }
-      aSubject.mIsWaiting = false;
-      const auto delay = aSubject.mFailures == 0 ? std::chrono::milliseconds(0) : Backoff(aSubject.mFailures);
-      QTimer::singleShot(delay, &mContext, [this, &aSubject] { Watch(aSubject); });
-    });
+  net::Fetch(mManager,
+             { .mMethod = "GET", .mUrl = QUrl(url) },
+             timeout,
+             [this, &aSubject, aIsBlocking](const net::HttpOutcome& aOutcome,
+                                            const net::HttpAnswer& aAnswer) {
+               HandleAnswer(aSubject, aOutcome, aAnswer);
+               if (!aIsBlocking) {
+                 return;
+               }
+               aSubject.mIsWaiting = false;
+               const auto delay = aSubject.mFailures == 0
+                                    ? std::chrono::milliseconds(0)
+                                    : Backoff(aSubject.mFailures);
+               QTimer::singleShot(
+                 delay, &mContext, [this, &aSubject] { Watch(aSubject); });
+             });
 }
 
 void
-ConsulPlatform::HandleAnswer(Subject& aSubject, const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer)
+ConsulPlatform::HandleAnswer(Subject& aSubject,
+                             const net::HttpOutcome& aOutcome,
+                             const net::HttpAnswer& aAnswer)
 {
   const uint64_t revision = aAnswer.Header("X-Consul-Index").toULongLong();
   if (!aOutcome.mIsComplete || aOutcome.mStatus != 200 || revision == 0) {
     if (aSubject.mFailures++ == 0) {
-      LOGW("The platform gives no answer; what is in force stays. path=" << aSubject.mPath
-                                                                        << " reason=" << aOutcome.mReason.toStdString()
-                                                                        << " status=" << aOutcome.mStatus);
+      LOGW("The platform gives no answer; what is in force stays. path="
+           << aSubject.mPath << " reason=" << aOutcome.mReason.toStdString()
+           << " status=" << aOutcome.mStatus);
     }
     return;
   }
@@ -153,7 +166,10 @@
       mOnDocuments({ aRevision, std::move(documents) });
       return {};
     },
-    [](const global::Error& aError) { LOGE("An answer of the platform cannot be read. reason=" << aError.mMessage); });
+    [](const global::Error& aError) {
+      LOGE(
+        "An answer of the platform cannot be read. reason=" << aError.mMessage);
+    });
 }
 
 void
@@ -165,7 +181,10 @@
       mOnVms({ aRevision, std::move(vms) });
       return {};
     },
-    [](const global::Error& aError) { LOGE("An answer of the platform cannot be read. reason=" << aError.mMessage); });
+    [](const global::Error& aError) {
+      LOGE(
+        "An answer of the platform cannot be read. reason=" << aError.mMessage);
+    });
 }
 
 }
--- a/src/platform/iplatform.h
+++ b/src/platform/iplatform.h
@@ -28,7 +28,8 @@
 public:
   virtual ~IPlatform() = default;
 
-  virtual void SetOnDocuments(std::function<void(DocumentSnapshot)> aOnDocuments) = 0;
+  virtual void SetOnDocuments(
+    std::function<void(DocumentSnapshot)> aOnDocuments) = 0;
   virtual void SetOnVms(std::function<void(VmSnapshot)> aOnVms) = 0;
   /** Called each time that the platform has answered, changed or not. */
   virtual void SetOnContact(std::function<void()> aOnContact) = 0;
--- a/src/platform/tests/consulanswerstest.cpp
+++ b/src/platform/tests/consulanswerstest.cpp
@@ -8,8 +8,8 @@
 
 TEST(ConsulAnswers, DocumentsAreDecoded)
 {
-  const auto documents =
-    platform::ParseKeyValues(R"([{"Key":"beryllever/routes/1","Value":"e30=","ModifyIndex":7,"CreateIndex":1}])");
+  const auto documents = platform::ParseKeyValues(
+    R"([{"Key":"beryllever/routes/1","Value":"e30=","ModifyIndex":7,"CreateIndex":1}])");
 
   CHECK_EQUAL(std::string("routes/1"), documents.value()[0].mName);
   CHECK_EQUAL(std::string("{}"), documents.value()[0].mText);
--- a/src/routing/addressselector.h
+++ b/src/routing/addressselector.h
@@ -17,10 +17,12 @@
 };
 
 /**
- * Entries in service, in an order that spreads callers evenly: the order is drawn by
- * rendezvous hashing on a key, for instance a request number.
+ * Entries in service, in an order that spreads callers evenly: the order is
+ * drawn by rendezvous hashing on a key, for instance a request number.
  */
 std::vector<EntryAddress>
-SelectAddresses(const configuration::Tables& aTables, const configuration::VmList& aVms, const std::string& aKey);
+SelectAddresses(const configuration::Tables& aTables,
+                const configuration::VmList& aVms,
+                const std::string& aKey);
 
 }
--- a/src/routing/endpointselector.h
+++ b/src/routing/endpointselector.h
@@ -34,15 +34,16 @@
 /** What a choice depends on besides the tables. */
 struct Selection
 {
-  /** Requests with the same key prefer the same endpoint, for its prefix cache. */
+  /** Requests with the same key prefer the same endpoint, for its prefix cache.
+   */
   std::string mAffinityKey;
   /** Addresses that have refused this request already. */
   std::set<std::string> mTried;
 };
 
 /**
- * Chooses an endpoint of a pool: the one that the affinity key prefers while its
- * usage is near the mean, otherwise the one with the least usage.
+ * Chooses an endpoint of a pool: the one that the affinity key prefers while
+ * its usage is near the mean, otherwise the one with the least usage.
  */
 class EndpointSelector
 {
@@ -51,12 +52,15 @@
                    const configuration::VmList& aVms,
                    const credits::CreditWallet& aWallet);
 
-  std::vector<Assessment> Assess(const configuration::Pool& aPool, const Selection& aSelection) const;
+  std::vector<Assessment> Assess(const configuration::Pool& aPool,
+                                 const Selection& aSelection) const;
   /** The endpoint to use, or null if none is eligible. */
-  const configuration::Endpoint* Choose(const configuration::Pool& aPool, const Selection& aSelection) const;
+  const configuration::Endpoint* Choose(const configuration::Pool& aPool,
+                                        const Selection& aSelection) const;
 
 private:
-  Eligibility EligibilityOf(const configuration::Endpoint& aEndpoint, const Selection& aSelection) const;
+  Eligibility EligibilityOf(const configuration::Endpoint& aEndpoint,
+                            const Selection& aSelection) const;
 
   const configuration::Tables& mTables;
   const configuration::VmList& mVms;
--- a/src/routing/internal/addressselector.cpp
+++ b/src/routing/internal/addressselector.cpp
@@ -7,18 +7,24 @@
 namespace beryllever::routing {
 
 std::vector<EntryAddress>
-SelectAddresses(const configuration::Tables& aTables, const configuration::VmList& aVms, const std::string& aKey)
+SelectAddresses(const configuration::Tables& aTables,
+                const configuration::VmList& aVms,
+                const std::string& aKey)
 {
   std::vector<EntryAddress> addresses;
   for (const auto& [name, vm] : aVms.Vms()) {
     const bool isOut = aTables.Service().IsOut(name, vm.mAvailabilityZone);
-    if (!vm.mCallerAddress.empty() && vm.mState == configuration::VmState::Live && !isOut) {
+    if (!vm.mCallerAddress.empty() &&
+        vm.mState == configuration::VmState::Live && !isOut) {
       addresses.push_back({ name, vm.mCallerAddress, vm.mAvailabilityZone });
     }
   }
-  std::sort(addresses.begin(), addresses.end(), [&](const EntryAddress& a, const EntryAddress& b) {
-    return global::RendezvousWeight(aKey, a.mVm) > global::RendezvousWeight(aKey, b.mVm);
-  });
+  std::sort(addresses.begin(),
+            addresses.end(),
+            [&](const EntryAddress& a, const EntryAddress& b) {
+              return global::RendezvousWeight(aKey, a.mVm) >
+                     global::RendezvousWeight(aKey, b.mVm);
+            });
   return addresses;
 }
 
--- a/src/routing/internal/endpointselector.cpp
+++ b/src/routing/internal/endpointselector.cpp
@@ -17,7 +17,9 @@
 std::string_view
 NameOf(Eligibility aEligibility)
 {
-  constexpr std::string_view kNames[] = { "eligible", "out_of_service", "leaving", "no_credit", "tried" };
+  constexpr std::string_view kNames[] = {
+    "eligible", "out_of_service", "leaving", "no_credit", "tried"
+  };
   return kNames[static_cast<size_t>(aEligibility)];
 }
 
@@ -31,20 +33,26 @@
 }
 
 std::vector<Assessment>
-EndpointSelector::Assess(const configuration::Pool& aPool, const Selection& aSelection) const
+EndpointSelector::Assess(const configuration::Pool& aPool,
+                         const Selection& aSelection) const
 {
   std::vector<Assessment> list;
   for (const configuration::Endpoint& endpoint : aPool.mEndpoints) {
-    list.push_back({ &endpoint, EligibilityOf(endpoint, aSelection), mWallet.Usage(endpoint.mAddress) });
+    list.push_back({ &endpoint,
+                     EligibilityOf(endpoint, aSelection),
+                     mWallet.Usage(endpoint.mAddress) });
   }
   return list;
 }
 
 const configuration::Endpoint*
-EndpointSelector::Choose(const configuration::Pool& aPool, const Selection& aSelection) const
+EndpointSelector::Choose(const configuration::Pool& aPool,
+                         const Selection& aSelection) const
 {
   std::vector<Assessment> eligible = Assess(aPool, aSelection);
-  std::erase_if(eligible, [](const Assessment& a) { return a.mEligibility != Eligibility::Eligible; });
+  std::erase_if(eligible, [](const Assessment& a) {
+    return a.mEligibility != Eligibility::Eligible;
+  });
   if (eligible.empty()) {
     return nullptr;
   }
@@ -52,22 +60,34 @@
   for (const Assessment& assessment : eligible) {
     sum += assessment.mUsage;
   }
-  const double bound = std::max(kAffinityFloor, kAffinityBound * sum / static_cast<double>(eligible.size()));
+  const double bound =
+    std::max(kAffinityFloor,
+             kAffinityBound * sum / static_cast<double>(eligible.size()));
   const auto weight = [&](const Assessment& a) {
-    return global::RendezvousWeight(aSelection.mAffinityKey, a.mEndpoint->mAddress);
+    return global::RendezvousWeight(aSelection.mAffinityKey,
+                                    a.mEndpoint->mAddress);
   };
-  const auto preferred = std::max_element(
-    eligible.begin(), eligible.end(), [&](const Assessment& a, const Assessment& b) { return weight(a) < weight(b); });
+  const auto preferred =
+    std::max_element(eligible.begin(),
+                     eligible.end(),
+                     [&](const Assessment& a, const Assessment& b) {
+                       return weight(a) < weight(b);
+                     });
   if (preferred->mUsage <= bound) {
     return preferred->mEndpoint;
   }
-  const auto least = std::min_element(
-    eligible.begin(), eligible.end(), [](const Assessment& a, const Assessment& b) { return a.mUsage < b.mUsage; });
+  const auto least =
+    std::min_element(eligible.begin(),
+                     eligible.end(),
+                     [](const Assessment& a, const Assessment& b) {
+                       return a.mUsage < b.mUsage;
+                     });
   return least->mEndpoint;
 }
 
 Eligibility
-EndpointSelector::EligibilityOf(const configuration::Endpoint& aEndpoint, const Selection& aSelection) const
+EndpointSelector::EligibilityOf(const configuration::Endpoint& aEndpoint,
+                                const Selection& aSelection) const
 {
   if (mTables.Service().IsOut(aEndpoint.mVm, aEndpoint.mAvailabilityZone)) {
     return Eligibility::OutOfService;
@@ -78,7 +98,8 @@
   if (aSelection.mTried.contains(aEndpoint.mAddress)) {
     return Eligibility::Tried;
   }
-  return mWallet.CanUse(aEndpoint.mAddress) ? Eligibility::Eligible : Eligibility::NoCredit;
+  return mWallet.CanUse(aEndpoint.mAddress) ? Eligibility::Eligible
+                                            : Eligibility::NoCredit;
 }
 
 }
--- a/src/routing/internal/waitqueue.cpp
+++ b/src/routing/internal/waitqueue.cpp
@@ -55,7 +55,9 @@
 {
   for (auto it = mClasses.begin(); it != mClasses.end(); ++it) {
     for (auto& [workspace, lane] : it->second) {
-      if (std::erase_if(lane.mWaiters, [&](const Waiter& waiter) { return waiter.mId == aId; }) > 0) {
+      if (std::erase_if(lane.mWaiters, [&](const Waiter& waiter) {
+            return waiter.mId == aId;
+          }) > 0) {
         --mSize;
         EraseIfEmpty(it, std::string(workspace));
         return true;
@@ -71,9 +73,11 @@
   std::vector<Waiter> expired;
   for (const auto& [priority, lanes] : mClasses) {
     for (const auto& [workspace, lane] : lanes) {
-      std::copy_if(lane.mWaiters.begin(), lane.mWaiters.end(), std::back_inserter(expired), [&](const Waiter& waiter) {
-        return aNow >= waiter.mDeadline;
-      });
+      std::copy_if(
+        lane.mWaiters.begin(),
+        lane.mWaiters.end(),
+        std::back_inserter(expired),
+        [&](const Waiter& waiter) { return aNow >= waiter.mDeadline; });
     }
   }
   for (const Waiter& waiter : expired) {
@@ -89,10 +93,12 @@
   if (aWaiter.mPriority < lowest->first) {
     return aWaiter;
   }
-  const auto longest =
-    std::max_element(lowest->second.begin(), lowest->second.end(), [](const auto& a, const auto& b) {
-      return a.second.mWaiters.size() < b.second.mWaiters.size();
-    });
+  const auto longest = std::max_element(lowest->second.begin(),
+                                        lowest->second.end(),
+                                        [](const auto& a, const auto& b) {
+                                          return a.second.mWaiters.size() <
+                                                 b.second.mWaiters.size();
+                                        });
   const bool isSameClass = aWaiter.mPriority == lowest->first;
   if (isSameClass && longest->first == aWaiter.mWorkspace) {
     return aWaiter;
@@ -106,11 +112,14 @@
 WaitQueue::NextLane(Class& aClass) const
 {
   return std::min_element(
-    aClass.begin(), aClass.end(), [](const auto& a, const auto& b) { return a.second.mStart < b.second.mStart; });
+    aClass.begin(), aClass.end(), [](const auto& a, const auto& b) {
+      return a.second.mStart < b.second.mStart;
+    });
 }
 
 void
-WaitQueue::EraseIfEmpty(std::map<int, Class, std::greater<>>::iterator aClass, const std::string& aWorkspace)
+WaitQueue::EraseIfEmpty(std::map<int, Class, std::greater<>>::iterator aClass,
+                        const std::string& aWorkspace)
 {
   const auto lane = aClass->second.find(aWorkspace);
   if (lane != aClass->second.end() && lane->second.mWaiters.empty()) {
--- a/src/routing/tests/addressselectortest.cpp
+++ b/src/routing/tests/addressselectortest.cpp
@@ -8,15 +8,18 @@
 TEST_GROUP(AddressSelector)
 {
   configuration::VmList vms;
-  std::shared_ptr<const configuration::Tables> tables = std::make_shared<configuration::Tables>();
+  std::shared_ptr<const configuration::Tables> tables =
+    std::make_shared<configuration::Tables>();
 
   void setup() override
   {
     for (int i = 0; i < 6; ++i) {
       const configuration::Vm vm{ .mName = "e" + std::to_string(i),
-                                  .mAvailabilityZone = "az" + std::to_string(i % 3),
+                                  .mAvailabilityZone =
+                                    "az" + std::to_string(i % 3),
                                   .mRole = "entry",
-                                  .mCallerAddress = "127.0.0.1:" + std::to_string(i) };
+                                  .mCallerAddress =
+                                    "127.0.0.1:" + std::to_string(i) };
       vms = *vms.With({ configuration::ChangeFromVm(vm, 1) }, 1);
     }
   }
@@ -24,7 +27,9 @@
 
 TEST(AddressSelector, EntriesOutOfServiceAreNotNamed)
 {
-  tables = tables->With({ { "out/zone/az0", "true", 2, false }, { "out/vm/e1", "true", 2, false } }, 2);
+  tables = tables->With(
+    { { "out/zone/az0", "true", 2, false }, { "out/vm/e1", "true", 2, false } },
+    2);
 
   const auto addresses = routing::SelectAddresses(*tables, vms, "1");
 
@@ -35,7 +40,8 @@
 {
   std::map<std::string, int> first;
   for (int i = 0; i < 6000; ++i) {
-    ++first[routing::SelectAddresses(*tables, vms, std::to_string(i)).front().mVm];
+    ++first
+      [routing::SelectAddresses(*tables, vms, std::to_string(i)).front().mVm];
   }
 
   for (const auto& [vm, n] : first) {
--- a/src/routing/tests/endpointselectortest.cpp
+++ b/src/routing/tests/endpointselectortest.cpp
@@ -10,9 +10,12 @@
   global::ManualClock clock;
   credits::CreditWallet wallet{ clock };
   configuration::VmList vms;
-  std::shared_ptr<const configuration::Tables> tables = std::make_shared<configuration::Tables>();
-  configuration::Pool pool{ .mName = "p",
-                            .mEndpoints = { { "m1", "a", "1" }, { "m2", "b", "2" }, { "m3", "c", "3" } } };
+  std::shared_ptr<const configuration::Tables> tables =
+    std::make_shared<configuration::Tables>();
+  configuration::Pool pool{
+    .mName = "p",
+    .mEndpoints = { { "m1", "a", "1" }, { "m2", "b", "2" }, { "m3", "c", "3" } }
+  };
 
   void Lease()
   {
@@ -23,7 +26,8 @@
 
   const configuration::Endpoint* Choose(const routing::Selection& aSelection)
   {
-    return routing::EndpointSelector(*tables, vms, wallet).Choose(pool, aSelection);
+    return routing::EndpointSelector(*tables, vms, wallet)
+      .Choose(pool, aSelection);
   }
 };
 
@@ -45,7 +49,8 @@
 TEST(EndpointSelector, ALeavingVmIsNeverChosen)
 {
   Lease();
-  const configuration::Vm vm{ .mName = "m2", .mState = configuration::VmState::Leaving };
+  const configuration::Vm vm{ .mName = "m2",
+                              .mState = configuration::VmState::Leaving };
   vms = *vms.With({ configuration::ChangeFromVm(vm, 2) }, 2);
 
   for (int i = 0; i < 100; ++i) {
--- a/src/routing/tests/waitqueuetest.cpp
+++ b/src/routing/tests/waitqueuetest.cpp
@@ -10,7 +10,10 @@
 namespace {
 
 Waiter
-Make(uint64_t aId, const std::string& aWorkspace, int aPriority = 5, int aWeight = 1)
+Make(uint64_t aId,
+     const std::string& aWorkspace,
+     int aPriority = 5,
+     int aWeight = 1)
 {
   return { aId, aWorkspace, aPriority, aWeight, global::TimePoint::max() };
 }
@@ -79,7 +82,8 @@
   queue.Push(waiter);
   queue.Push(Make(2, "a"));
 
-  const auto expired = queue.TakeExpired(global::TimePoint(std::chrono::seconds(6)));
+  const auto expired =
+    queue.TakeExpired(global::TimePoint(std::chrono::seconds(6)));
 
   CHECK_EQUAL(1u, expired.size());
   CHECK_EQUAL(2u, queue.Front()->mId);
--- a/src/routing/waitqueue.h
+++ b/src/routing/waitqueue.h
@@ -22,8 +22,9 @@
 };
 
 /**
- * Requests that wait for a pool. Higher priorities go first; within a priority the
- * workspaces share by weight, whatever the number of requests that each has sent.
+ * Requests that wait for a pool. Higher priorities go first; within a priority
+ * the workspaces share by weight, whatever the number of requests that each has
+ * sent.
  */
 class WaitQueue
 {
@@ -31,8 +32,9 @@
   explicit WaitQueue(size_t aMaxSize);
 
   /**
-   * Adds a request. If the queue is full, the last request of the workspace with the
-   * most waiting requests in the lowest priority gives way; returns the one shed.
+   * Adds a request. If the queue is full, the last request of the workspace
+   * with the most waiting requests in the lowest priority gives way; returns
+   * the one shed.
    */
   std::optional<Waiter> Push(Waiter aWaiter);
   /** The request whose turn it is, left in the queue; null if there is none. */
@@ -56,7 +58,8 @@
 
   std::optional<Waiter> ShedFor(const Waiter& aWaiter);
   Class::iterator NextLane(Class& aClass) const;
-  void EraseIfEmpty(std::map<int, Class, std::greater<>>::iterator aClass, const std::string& aWorkspace);
+  void EraseIfEmpty(std::map<int, Class, std::greater<>>::iterator aClass,
+                    const std::string& aWorkspace);
 
   const size_t mMaxSize;
   size_t mSize = 0;
--- a/src/spread/internal/revisionstore.cpp
+++ b/src/spread/internal/revisionstore.cpp
@@ -20,7 +20,8 @@
 }
 
 Application
-RevisionStore::TakeSnapshot(const std::vector<Change>& aEntries, uint64_t aRevision)
+RevisionStore::TakeSnapshot(const std::vector<Change>& aEntries,
+                            uint64_t aRevision)
 {
   return Apply(ToFullSet(aEntries, aRevision));
 }
@@ -52,7 +53,10 @@
 ChangeSet
 RevisionStore::ChangesSince(uint64_t aRevision) const
 {
-  ChangeSet set{ .mFrom = aRevision, .mTo = mRevision, .mIsFull = aRevision < mDeletionsSince, .mDigest = mDigest };
+  ChangeSet set{ .mFrom = aRevision,
+                 .mTo = mRevision,
+                 .mIsFull = aRevision < mDeletionsSince,
+                 .mDigest = mDigest };
   for (const auto& [key, entry] : mEntries) {
     if (set.mIsFull || entry.mRevision > aRevision) {
       set.mChanges.push_back(entry);
@@ -67,7 +71,8 @@
 }
 
 ChangeSet
-RevisionStore::ToFullSet(const std::vector<Change>& aEntries, uint64_t aRevision) const
+RevisionStore::ToFullSet(const std::vector<Change>& aEntries,
+                         uint64_t aRevision) const
 {
   ChangeSet set{ .mTo = aRevision, .mIsFull = true, .mChanges = aEntries };
   for (const Change& entry : aEntries) {
@@ -87,7 +92,9 @@
     }
     const auto it = mEntries.find(change.mKey);
     const bool isKnown = it != mEntries.end();
-    const bool isSame = change.mIsDeleted ? !isKnown : isKnown && it->second.mValue == change.mValue;
+    const bool isSame = change.mIsDeleted
+                          ? !isKnown
+                          : isKnown && it->second.mValue == change.mValue;
     if (!isSame) {
       effective.push_back(change);
     }
--- a/src/spread/internal/sourceselection.cpp
+++ b/src/spread/internal/sourceselection.cpp
@@ -15,9 +15,12 @@
 std::vector<Candidate>
 ByWeight(const std::string& aKey, std::vector<Candidate> aCandidates)
 {
-  std::sort(aCandidates.begin(), aCandidates.end(), [&](const Candidate& a, const Candidate& b) {
-    return global::RendezvousWeight(aKey, a.mVm) > global::RendezvousWeight(aKey, b.mVm);
-  });
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [&](const Candidate& a, const Candidate& b) {
+              return global::RendezvousWeight(aKey, a.mVm) >
+                     global::RendezvousWeight(aKey, b.mVm);
+            });
   return aCandidates;
 }
 
@@ -37,7 +40,9 @@
 }
 
 std::vector<Candidate>
-SelectSources(const std::string& aSelf, const std::vector<Candidate>& aCandidates, size_t aCount)
+SelectSources(const std::string& aSelf,
+              const std::vector<Candidate>& aCandidates,
+              size_t aCount)
 {
   std::vector<Candidate> first;
   std::vector<Candidate> rest;
--- a/src/spread/revisionstore.h
+++ b/src/spread/revisionstore.h
@@ -51,15 +51,16 @@
 };
 
 /**
- * Entries with revisions. An entry with revision r has the value that the platform's
- * snapshot r gives it, so the highest revision wins whatever the order of arrival.
- * The store never goes to a lower revision.
+ * Entries with revisions. An entry with revision r has the value that the
+ * platform's snapshot r gives it, so the highest revision wins whatever the
+ * order of arrival. The store never goes to a lower revision.
  */
 class RevisionStore
 {
 public:
   /** Takes a snapshot of all entries, as read from the platform. */
-  Application TakeSnapshot(const std::vector<Change>& aEntries, uint64_t aRevision);
+  Application TakeSnapshot(const std::vector<Change>& aEntries,
+                           uint64_t aRevision);
   /** Takes changes from a peer. */
   Application Apply(const ChangeSet& aSet);
   /** Changes that lead a peer from a revision to this store's. */
@@ -70,7 +71,8 @@
   size_t Size() const { return mEntries.size(); }
 
 private:
-  ChangeSet ToFullSet(const std::vector<Change>& aEntries, uint64_t aRevision) const;
+  ChangeSet ToFullSet(const std::vector<Change>& aEntries,
+                      uint64_t aRevision) const;
   std::vector<Change> EffectiveChanges(const ChangeSet& aSet) const;
   uint64_t DigestAfter(const std::vector<Change>& aEffective) const;
   void Store(const Change& aChange);
--- a/src/spread/sourceselection.h
+++ b/src/spread/sourceselection.h
@@ -13,7 +13,8 @@
   std::string mAddress;
 };
 
-/** Entries of each availability zone that watch the platform; equal in every process with the same list. */
+/** Entries of each availability zone that watch the platform; equal in every
+ * process with the same list. */
 std::vector<Candidate>
 SelectWatchers(const std::vector<Candidate>& aEntries, size_t aPerZone);
 
@@ -22,6 +23,8 @@
  * rendezvous hashing and over availability zones as far as there are several.
  */
 std::vector<Candidate>
-SelectSources(const std::string& aSelf, const std::vector<Candidate>& aCandidates, size_t aCount);
+SelectSources(const std::string& aSelf,
+              const std::vector<Candidate>& aCandidates,
+              size_t aCount);
 
 }
--- a/src/spread/tests/revisionstoretest.cpp
+++ b/src/spread/tests/revisionstoretest.cpp
@@ -65,14 +65,17 @@
   RevisionStore store;
   store.TakeSnapshot({ { "a", "1", 1, false } }, 1);
 
-  const ChangeSet set{ .mFrom = 1, .mTo = 3, .mDigest = 42, .mChanges = { { "a", "2", 3, false } } };
+  const ChangeSet set{
+    .mFrom = 1, .mTo = 3, .mDigest = 42, .mChanges = { { "a", "2", 3, false } }
+  };
 
   CHECK(store.Apply(set).mVerdict == Verdict::Diverged);
   CHECK_EQUAL(std::string("1"), Content(store)["a"]);
 }
 
-// Stores that exchange changes in any order, with some restarting empty, all end at the highest
-// snapshot, and none ever holds anything but a published snapshot.
+// Stores that exchange changes in any order, with some restarting empty, all
+// end at the highest snapshot, and none ever holds anything but a published
+// snapshot.
 TEST(RevisionStore, AnyExchangeEndsAtTheHighestSnapshot)
 {
   for (unsigned seed = 1; seed <= 300; ++seed) {
@@ -102,7 +105,8 @@
         const uint64_t revision = 1 + random() % 20;
         stores[i].TakeSnapshot(published[revision], revision);
       } else {
-        stores[i].Apply(stores[random() % 4].ChangesSince(stores[i].Revision()));
+        stores[i].Apply(
+          stores[random() % 4].ChangesSince(stores[i].Revision()));
       }
       CHECK(stores[i].Revision() >= floors[i]);
       floors[i] = stores[i].Revision();
--- a/src/spread/tests/sourceselectiontest.cpp
+++ b/src/spread/tests/sourceselectiontest.cpp
@@ -14,7 +14,8 @@
 {
   std::vector<Candidate> entries;
   for (int i = 0; i < aCount; ++i) {
-    entries.push_back({ "e" + std::to_string(i), "az" + std::to_string(i % 5), "" });
+    entries.push_back(
+      { "e" + std::to_string(i), "az" + std::to_string(i % 5), "" });
   }
   return entries;
 }
@@ -45,18 +46,22 @@
   CHECK(sources[0].mVm != "e7");
 }
 
-// At the design size no entry is followed by more than a few times its even share.
+// At the design size no entry is followed by more than a few times its even
+// share.
 TEST(SourceSelection, FollowersAreSpreadEvenly)
 {
   const auto entries = Entries(390);
   std::map<std::string, int> followers;
   for (int i = 0; i < 1500; ++i) {
-    for (const Candidate& source : SelectSources("agent" + std::to_string(i), entries, 2)) {
+    for (const Candidate& source :
+         SelectSources("agent" + std::to_string(i), entries, 2)) {
       ++followers[source.mVm];
     }
   }
 
   const auto most = std::max_element(
-    followers.begin(), followers.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    followers.begin(), followers.end(), [](const auto& a, const auto& b) {
+      return a.second < b.second;
+    });
   CHECK(most->second <= 24);
 }
--- a/src/streams/eventframer.h
+++ b/src/streams/eventframer.h
@@ -7,8 +7,9 @@
 namespace beryllever::streams {
 
 /**
- * Cuts a stream of server-sent events into whole events and gives each an id that
- * names the offset behind it, so that a caller can go on from its last event.
+ * Cuts a stream of server-sent events into whole events and gives each an id
+ * that names the offset behind it, so that a caller can go on from its last
+ * event.
  */
 class EventFramer
 {
--- a/src/streams/internal/eventframer.cpp
+++ b/src/streams/internal/eventframer.cpp
@@ -21,7 +21,8 @@
   mPartial += aBytes;
   std::string events;
   size_t start = 0;
-  for (size_t end = mPartial.find(kEventEnd); end != std::string::npos; end = mPartial.find(kEventEnd, start)) {
+  for (size_t end = mPartial.find(kEventEnd); end != std::string::npos;
+       end = mPartial.find(kEventEnd, start)) {
     const size_t size = end + kEventEndBytes - start;
     mOffset += size;
     events += "id: " + mMakeId(mOffset) + "\n";
--- a/src/streams/internal/memorybudget.cpp
+++ b/src/streams/internal/memorybudget.cpp
@@ -4,7 +4,8 @@
 
 MemoryBudget::MemoryBudget(int64_t aProcessBytes, double aWorkspaceShare)
   : mProcessBytes(aProcessBytes)
-  , mWorkspaceBytes(static_cast<int64_t>(static_cast<double>(aProcessBytes) * aWorkspaceShare))
+  , mWorkspaceBytes(static_cast<int64_t>(static_cast<double>(aProcessBytes) *
+                                         aWorkspaceShare))
 {
 }
 
--- a/src/streams/memorybudget.h
+++ b/src/streams/memorybudget.h
@@ -9,8 +9,9 @@
 
 /**
  * Bytes held for callers, bounded for the process and for each workspace. A
- * reservation is for the most that a stream may hold, so that a stream which has
- * begun never has to be cut off for lack of memory. Safe to call from any thread.
+ * reservation is for the most that a stream may hold, so that a stream which
+ * has begun never has to be cut off for lack of memory. Safe to call from any
+ * thread.
  */
 class MemoryBudget
 {
--- a/src/streams/tests/chunksequencertest.cpp
+++ b/src/streams/tests/chunksequencertest.cpp
@@ -46,7 +46,8 @@
     std::string whole;
     std::vector<std::pair<uint64_t, std::string>> chunks;
     for (int i = 0; i < 30; ++i) {
-      const std::string bytes(1 + random() % 9, static_cast<char>('a' + i % 26));
+      const std::string bytes(1 + random() % 9,
+                              static_cast<char>('a' + i % 26));
       chunks.emplace_back(whole.size(), bytes);
       if (random() % 3 == 0) {
         chunks.emplace_back(whole.size(), bytes);
--- a/src/streams/tests/eventframertest.cpp
+++ b/src/streams/tests/eventframertest.cpp
@@ -8,7 +8,8 @@
 
 TEST(EventFramer, EachEventNamesTheOffsetBehindIt)
 {
-  EventFramer framer(0, [](uint64_t aOffset) { return std::to_string(aOffset); });
+  EventFramer framer(0,
+                     [](uint64_t aOffset) { return std::to_string(aOffset); });
 
   std::string text = framer.Take("data: a\n");
   text += framer.Take("\ndata: b\n\nda");
--- a/src/tickets/internal/ticketbook.cpp
+++ b/src/tickets/internal/ticketbook.cpp
@@ -12,7 +12,10 @@
 
 }
 
-TicketBook::TicketBook(const global::IClock& aClock, std::string aEndpoint, uint64_t aIncarnation, size_t aMaxBytes)
+TicketBook::TicketBook(const global::IClock& aClock,
+                       std::string aEndpoint,
+                       uint64_t aIncarnation,
+                       size_t aMaxBytes)
   : mClock(aClock)
   , mEndpoint(std::move(aEndpoint))
   , mIncarnation(aIncarnation)
@@ -26,7 +29,8 @@
   Forget();
   const uint64_t number = ++mIssued;
   const global::TimePoint now = mClock.Now();
-  mRecords[number] = { .mBeginDeadline = now + kBeginTime, .mForgetDeadline = now + kKeepTime };
+  mRecords[number] = { .mBeginDeadline = now + kBeginTime,
+                       .mForgetDeadline = now + kKeepTime };
   mHeldBytes += kRecordBytes;
   return { mEndpoint, mIncarnation, number };
 }
@@ -47,7 +51,9 @@
 }
 
 void
-TicketBook::Complete(const Ticket& aTicket, int aHttpStatus, const std::string& aBody)
+TicketBook::Complete(const Ticket& aTicket,
+                     int aHttpStatus,
+                     const std::string& aBody)
 {
   Record* record = Find(aTicket);
   if (!record || record->mState != TicketState::Running) {
@@ -79,16 +85,23 @@
   if (const Record* record = Find(aTicket)) {
     return { record->mState, record->mHttpStatus, record->mBody };
   }
-  const bool isOurs = aTicket.mEndpoint == mEndpoint && aTicket.mIncarnation == mIncarnation;
-  const bool isForgotten = isOurs && aTicket.mNumber > 0 && aTicket.mNumber <= mForgottenUpTo;
-  const bool isOtherIncarnation = aTicket.mEndpoint == mEndpoint && aTicket.mIncarnation != mIncarnation;
-  return { isForgotten || isOtherIncarnation ? TicketState::Unknown : TicketState::Foreign, 0, "" };
+  const bool isOurs =
+    aTicket.mEndpoint == mEndpoint && aTicket.mIncarnation == mIncarnation;
+  const bool isForgotten =
+    isOurs && aTicket.mNumber > 0 && aTicket.mNumber <= mForgottenUpTo;
+  const bool isOtherIncarnation =
+    aTicket.mEndpoint == mEndpoint && aTicket.mIncarnation != mIncarnation;
+  return { isForgotten || isOtherIncarnation ? TicketState::Unknown
+                                             : TicketState::Foreign,
+           0,
+           "" };
 }
 
 Outcome
 TicketBook::Settle(const Ticket& aTicket)
 {
-  if (Record* record = Find(aTicket); record && record->mState == TicketState::Open) {
+  if (Record* record = Find(aTicket);
+      record && record->mState == TicketState::Open) {
     record->mState = TicketState::Void;
   }
   return Look(aTicket);
@@ -107,7 +120,8 @@
 void
 TicketBook::End(const Ticket& aTicket, TicketState aState)
 {
-  if (Record* record = Find(aTicket); record && record->mState == TicketState::Running) {
+  if (Record* record = Find(aTicket);
+      record && record->mState == TicketState::Running) {
     record->mState = aState;
   }
 }
--- a/src/tickets/tests/ticketbooktest.cpp
+++ b/src/tickets/tests/ticketbooktest.cpp
@@ -83,8 +83,9 @@
   CHECK(small.HeldBytes() <= 10000);
 }
 
-// Thousands of seeded interleavings of copies, settlements, answers, losses and restarts.
-// No ticket runs twice, and none runs after a caller was told that it is void.
+// Thousands of seeded interleavings of copies, settlements, answers, losses and
+// restarts. No ticket runs twice, and none runs after a caller was told that it
+// is void.
 TEST(TicketBook, NoInterleavingRunsATicketTwice)
 {
   for (unsigned seed = 1; seed <= 5000; ++seed) {
@@ -102,7 +103,8 @@
       const std::pair key{ ticket.mIncarnation, ticket.mNumber };
       switch (random() % 8) {
         case 0:
-          current = std::make_unique<TicketBook>(clock, "e", ++incarnation, 2000);
+          current =
+            std::make_unique<TicketBook>(clock, "e", ++incarnation, 2000);
           break;
         case 1:
           if (current->Settle(ticket).mState == TicketState::Void) {
--- a/src/tickets/ticketbook.h
+++ b/src/tickets/ticketbook.h
@@ -8,7 +8,8 @@
 
 namespace beryllever::tickets {
 
-/** Permission to run one non-idempotent request once, at one incarnation of one agent. */
+/** Permission to run one non-idempotent request once, at one incarnation of one
+ * agent. */
 struct Ticket
 {
   /** Address of the agent that has issued the ticket. */
@@ -44,29 +45,37 @@
 };
 
 /**
- * The tickets of one incarnation of an agent. Each ticket is run at most once. The
- * book lives in memory: a new incarnation knows nothing of an older one's tickets and
- * says so, rather than that they have not run.
+ * The tickets of one incarnation of an agent. Each ticket is run at most once.
+ * The book lives in memory: a new incarnation knows nothing of an older one's
+ * tickets and says so, rather than that they have not run.
  */
 class TicketBook
 {
 public:
-  TicketBook(const global::IClock& aClock, std::string aEndpoint, uint64_t aIncarnation, size_t aMaxBytes);
+  TicketBook(const global::IClock& aClock,
+             std::string aEndpoint,
+             uint64_t aIncarnation,
+             size_t aMaxBytes);
 
   /** Issues a ticket that can be begun until its deadline. */
   Ticket Issue();
-  /** Begins the request: true exactly once for a ticket, and only before its deadline. */
+  /** Begins the request: true exactly once for a ticket, and only before its
+   * deadline. */
   bool Begin(const Ticket& aTicket);
   /** Records the back end's answer. */
-  void Complete(const Ticket& aTicket, int aHttpStatus, const std::string& aBody);
-  /** Records that no byte of the request has reached the back end; it never will. */
+  void Complete(const Ticket& aTicket,
+                int aHttpStatus,
+                const std::string& aBody);
+  /** Records that no byte of the request has reached the back end; it never
+   * will. */
   void Cancel(const Ticket& aTicket);
   /** Records that the back end's answer is lost. */
   void Lose(const Ticket& aTicket);
 
   /** What is known, without changing it. */
   Outcome Look(const Ticket& aTicket);
-  /** What is known; an open ticket is made void, so that a late copy cannot run. */
+  /** What is known; an open ticket is made void, so that a late copy cannot
+   * run. */
   Outcome Settle(const Ticket& aTicket);
 
   uint64_t Incarnation() const { return mIncarnation; }
--- a/src/transport/clientbidi.h
+++ b/src/transport/clientbidi.h
@@ -11,15 +11,17 @@
 namespace beryllever::transport {
 
 /**
- * Client side of a call with streams both ways, for state of which only the newest
- * counts: a message that has not been sent yet is replaced by the next one.
- * Callbacks run on the thread of the context, which must outlive the call.
+ * Client side of a call with streams both ways, for state of which only the
+ * newest counts: a message that has not been sent yet is replaced by the next
+ * one. Callbacks run on the thread of the context, which must outlive the call.
  */
 template<typename Request, typename Update>
 class ClientBidi : public grpc::ClientBidiReactor<Request, Update>
 {
 public:
-  using Starter = std::function<void(grpc::ClientContext*, grpc::ClientBidiReactor<Request, Update>*)>;
+  using Starter =
+    std::function<void(grpc::ClientContext*,
+                       grpc::ClientBidiReactor<Request, Update>*)>;
   using OnUpdate = std::function<void(Update)>;
   using OnEnd = std::function<void()>;
 
@@ -28,7 +30,8 @@
                                            OnUpdate aOnUpdate,
                                            OnEnd aOnEnd)
   {
-    std::shared_ptr<ClientBidi> call(new ClientBidi(aContext, std::move(aOnUpdate), std::move(aOnEnd)));
+    std::shared_ptr<ClientBidi> call(
+      new ClientBidi(aContext, std::move(aOnUpdate), std::move(aOnEnd)));
     call->mSelf = call;
     aStarter(&call->mClientContext, call.get());
     call->AddHold();
@@ -71,7 +74,8 @@
       ReleaseLocked();
       return;
     }
-    Post(mContext, [self = mSelf, update = mUpdate] { self->mOnUpdate(update); });
+    Post(mContext,
+         [self = mSelf, update = mUpdate] { self->mOnUpdate(update); });
     this->StartRead(&mUpdate);
   }
 
--- a/src/transport/clientstream.h
+++ b/src/transport/clientstream.h
@@ -10,27 +10,30 @@
 namespace beryllever::transport {
 
 /**
- * Client side of a call whose answer is a stream. Updates are read one at a time,
- * on demand, so that an answer that is not read stays at its sender. Callbacks run
- * on the thread of the context, which must outlive the call.
+ * Client side of a call whose answer is a stream. Updates are read one at a
+ * time, on demand, so that an answer that is not read stays at its sender.
+ * Callbacks run on the thread of the context, which must outlive the call.
  */
 template<typename Request, typename Update>
 class ClientStream : public grpc::ClientReadReactor<Update>
 {
 public:
-  using Starter = std::function<void(grpc::ClientContext*, const Request*, grpc::ClientReadReactor<Update>*)>;
+  using Starter = std::function<void(grpc::ClientContext*,
+                                     const Request*,
+                                     grpc::ClientReadReactor<Update>*)>;
   using OnUpdate = std::function<void(Update)>;
   using OnEnd = std::function<void(const grpc::Status&)>;
 
-  static std::shared_ptr<ClientStream> Start(QObject* aContext,
-                                             Request aRequest,
-                                             std::chrono::system_clock::time_point aDeadline,
-                                             const Starter& aStarter,
-                                             OnUpdate aOnUpdate,
-                                             OnEnd aOnEnd)
+  static std::shared_ptr<ClientStream> Start(
+    QObject* aContext,
+    Request aRequest,
+    std::chrono::system_clock::time_point aDeadline,
+    const Starter& aStarter,
+    OnUpdate aOnUpdate,
+    OnEnd aOnEnd)
   {
-    std::shared_ptr<ClientStream> call(
-      new ClientStream(aContext, std::move(aRequest), std::move(aOnUpdate), std::move(aOnEnd)));
+    std::shared_ptr<ClientStream> call(new ClientStream(
+      aContext, std::move(aRequest), std::move(aOnUpdate), std::move(aOnEnd)));
     call->mSelf = call;
     call->mClientContext.set_deadline(aDeadline);
     aStarter(&call->mClientContext, &call->mRequest, call.get());
@@ -68,7 +71,9 @@
       update.Swap(&mUpdate);
       mIsReading = false;
     }
-    Post(mContext, [self = mSelf, update = std::move(update)]() mutable { self->mOnUpdate(std::move(update)); });
+    Post(mContext, [self = mSelf, update = std::move(update)]() mutable {
+      self->mOnUpdate(std::move(update));
+    });
   }
 
   void OnDone(const grpc::Status& aStatus) override
@@ -83,7 +88,10 @@
   }
 
 private:
-  ClientStream(QObject* aContext, Request aRequest, OnUpdate aOnUpdate, OnEnd aOnEnd)
+  ClientStream(QObject* aContext,
+               Request aRequest,
+               OnUpdate aOnUpdate,
+               OnEnd aOnEnd)
     : mContext(aContext)
     , mRequest(std::move(aRequest))
     , mOnUpdate(std::move(aOnUpdate))
--- a/src/transport/grpcserver.h
+++ b/src/transport/grpcserver.h
@@ -7,7 +7,8 @@
 
 namespace beryllever::transport {
 
-/** Services that a process offers to the system's other processes, on one address. */
+/** Services that a process offers to the system's other processes, on one
+ * address. */
 class GrpcServer
 {
 public:
--- a/src/transport/internal/channel.cpp
+++ b/src/transport/internal/channel.cpp
@@ -29,14 +29,17 @@
   arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kStreamWindowBytes);
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMilliseconds);
-  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMilliseconds);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                   kKeepaliveTimeoutMilliseconds);
   arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinBackoffMilliseconds);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                   kMinBackoffMilliseconds);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinBackoffMilliseconds);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMilliseconds);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
-  return grpc::CreateCustomChannel(TargetFor(aAddress), grpc::InsecureChannelCredentials(), arguments);
+  return grpc::CreateCustomChannel(
+    TargetFor(aAddress), grpc::InsecureChannelCredentials(), arguments);
 }
 
 }
--- a/src/transport/internal/conversions.cpp
+++ b/src/transport/internal/conversions.cpp
@@ -29,7 +29,8 @@
                          .mIsFull = aBatch.is_full(),
                          .mDigest = aBatch.digest() };
   for (const v1::EntryChange& entry : aBatch.changes()) {
-    set.mChanges.push_back({ entry.key(), entry.value(), entry.revision(), entry.is_deleted() });
+    set.mChanges.push_back(
+      { entry.key(), entry.value(), entry.revision(), entry.is_deleted() });
   }
   return set;
 }
--- a/src/transport/internal/grpcserver.cpp
+++ b/src/transport/internal/grpcserver.cpp
@@ -31,11 +31,16 @@
   builder.AddListeningPort(aAddress, grpc::InsecureServerCredentials(), &port);
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
-  builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kStreamWindowBytes);
-  builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kMinPingIntervalMilliseconds);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES,
+                             kStreamWindowBytes);
+  builder.AddChannelArgument(
+    GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+    kMinPingIntervalMilliseconds);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
-  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMilliseconds);
-  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMilliseconds);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS,
+                             kKeepaliveMilliseconds);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                             kKeepaliveTimeoutMilliseconds);
   for (const auto& service : mServices) {
     builder.RegisterService(service.get());
   }
--- a/src/transport/internal/tokens.cpp
+++ b/src/transport/internal/tokens.cpp
@@ -12,14 +12,17 @@
 
 namespace {
 
-constexpr auto kBase64 = QByteArray::Base64UrlEncoding | QByteArray::OmitTrailingEquals;
+constexpr auto kBase64 =
+  QByteArray::Base64UrlEncoding | QByteArray::OmitTrailingEquals;
 constexpr qsizetype kCheckBytes = 4;
 
-/** Short check against typing and cutting errors. It is no protection against forgery. */
+/** Short check against typing and cutting errors. It is no protection against
+ * forgery. */
 QByteArray
 CheckOf(const QByteArray& aPayload)
 {
-  const uint64_t hash = global::StableHash({ aPayload.constData(), static_cast<size_t>(aPayload.size()) });
+  const uint64_t hash = global::StableHash(
+    { aPayload.constData(), static_cast<size_t>(aPayload.size()) });
   return QByteArray(reinterpret_cast<const char*>(&hash), kCheckBytes);
 }
 
@@ -27,7 +30,8 @@
 std::string
 Encode(const Message& aMessage)
 {
-  const QByteArray payload = QByteArray::fromStdString(aMessage.SerializeAsString());
+  const QByteArray payload =
+    QByteArray::fromStdString(aMessage.SerializeAsString());
   return (CheckOf(payload) + payload).toBase64(kBase64).toStdString();
 }
 
@@ -35,14 +39,16 @@
 std::optional<Message>
 Decode(const std::string& aText)
 {
-  const auto decoded =
-    QByteArray::fromBase64Encoding(QByteArray::fromStdString(aText), kBase64 | QByteArray::AbortOnBase64DecodingErrors);
+  const auto decoded = QByteArray::fromBase64Encoding(
+    QByteArray::fromStdString(aText),
+    kBase64 | QByteArray::AbortOnBase64DecodingErrors);
   if (!decoded || decoded.decoded.size() <= kCheckBytes) {
     return std::nullopt;
   }
   const QByteArray payload = decoded.decoded.mid(kCheckBytes);
   Message message;
-  if (decoded.decoded.left(kCheckBytes) != CheckOf(payload) || !message.ParseFromString(payload.toStdString())) {
+  if (decoded.decoded.left(kCheckBytes) != CheckOf(payload) ||
+      !message.ParseFromString(payload.toStdString())) {
     return std::nullopt;
   }
   return message;
@@ -62,7 +68,8 @@
   if (const auto ticket = Decode<v1::Ticket>(aText)) {
     return *ticket;
   }
-  return Fail(ErrorKind::UnknownTicket, "the Idempotency-Key was not issued by POST /v1/tickets");
+  return Fail(ErrorKind::UnknownTicket,
+              "the Idempotency-Key was not issued by POST /v1/tickets");
 }
 
 std::string
@@ -77,7 +84,8 @@
   if (const auto position = Decode<v1::StreamPosition>(aText)) {
     return *position;
   }
-  return Fail(ErrorKind::InvalidRequest, "Last-Event-ID is not the id of an event of this system");
+  return Fail(ErrorKind::InvalidRequest,
+              "Last-Event-ID is not the id of an event of this system");
 }
 
 }
--- a/src/transport/post.h
+++ b/src/transport/post.h
@@ -10,7 +10,8 @@
 void
 Post(QObject* aContext, Function&& aFunction)
 {
-  QMetaObject::invokeMethod(aContext, std::forward<Function>(aFunction), Qt::QueuedConnection);
+  QMetaObject::invokeMethod(
+    aContext, std::forward<Function>(aFunction), Qt::QueuedConnection);
 }
 
 }
--- a/src/transport/serverstream.h
+++ b/src/transport/serverstream.h
@@ -13,8 +13,8 @@
 
 /**
  * Server side of a call whose answer is a stream. Updates queue here until the
- * reader takes them; the owner looks at Depth to hold back. Callbacks run on the
- * thread of the context.
+ * reader takes them; the owner looks at Depth to hold back. Callbacks run on
+ * the thread of the context.
  */
 template<typename Update>
 class ServerStream : public grpc::ServerWriteReactor<Update>
@@ -58,7 +58,8 @@
     return mQueue.size();
   }
 
-  /** Called on the context's thread after each update that the reader's side has taken. */
+  /** Called on the context's thread after each update that the reader's side
+   * has taken. */
   void SetOnTaken(std::function<void()> aOnTaken)
   {
     const std::lock_guard lock(mMutex);
--- a/src/transport/tests/noretrytest.cpp
+++ b/src/transport/tests/noretrytest.cpp
@@ -17,7 +17,9 @@
 class FailingAgent : public v1::Agent::Service
 {
 public:
-  grpc::Status IssueTicket(grpc::ServerContext*, const v1::IssueTicketRequest*, v1::Ticket*) override
+  grpc::Status IssueTicket(grpc::ServerContext*,
+                           const v1::IssueTicketRequest*,
+                           v1::Ticket*) override
   {
     ++mArrivals;
     return { grpc::StatusCode::UNAVAILABLE, "connection lost" };
@@ -30,16 +32,19 @@
 
 TEST_GROUP(NoRetry){};
 
-// A call that may run at most once must reach the server once, whatever status it ends with.
+// A call that may run at most once must reach the server once, whatever status
+// it ends with.
 TEST(NoRetry, AFailedCallArrivesOnce)
 {
   FailingAgent agent;
   grpc::ServerBuilder builder;
   int port = 0;
-  builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+  builder.AddListeningPort(
+    "127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
   builder.RegisterService(&agent);
   const auto server = builder.BuildAndStart();
-  const auto stub = v1::Agent::NewStub(transport::MakeChannel("127.0.0.1:" + std::to_string(port)));
+  const auto stub = v1::Agent::NewStub(
+    transport::MakeChannel("127.0.0.1:" + std::to_string(port)));
 
   grpc::ClientContext context;
   v1::Ticket ticket;
@@ -50,7 +55,8 @@
   server->Shutdown();
 }
 
-// A server that takes the call and closes the connection sees one connection's worth of it only.
+// A server that takes the call and closes the connection sees one connection's
+// worth of it only.
 TEST(NoRetry, ACallOnAConnectionThatClosesIsNotSentAgain)
 {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -83,8 +89,8 @@
       close(connection);
     }
   });
-  const auto stub =
-    v1::Agent::NewStub(transport::MakeChannel("127.0.0.1:" + std::to_string(ntohs(address.sin_port))));
+  const auto stub = v1::Agent::NewStub(transport::MakeChannel(
+    "127.0.0.1:" + std::to_string(ntohs(address.sin_port))));
 
   grpc::ClientContext context;
   v1::Ticket ticket;
--- a/src/transport/tests/tokenstest.cpp
+++ b/src/transport/tests/tokenstest.cpp
@@ -25,7 +25,9 @@
   ticket.set_endpoint("127.0.0.1:1");
   const std::string text = transport::EncodeTicket(ticket);
 
-  for (const std::string& bad : { std::string(), std::string("order-17"), text.substr(0, text.size() - 2) }) {
+  for (const std::string& bad : { std::string(),
+                                  std::string("order-17"),
+                                  text.substr(0, text.size() - 2) }) {
     const auto kind = global::Resolve(
       [&]() -> global::Result<global::ErrorKind> {
         BOOST_LEAF_CHECK(transport::DecodeTicket(bad));
--- a/src/transport/unary.h
+++ b/src/transport/unary.h
@@ -18,8 +18,9 @@
 };
 
 /**
- * Makes a call and hands its end to a function on the thread of the context. The
- * starter gets the client context, the request, the reply and the completion.
+ * Makes a call and hands its end to a function on the thread of the context.
+ * The starter gets the client context, the request, the reply and the
+ * completion.
  */
 template<typename Request, typename Reply, typename Starter, typename OnEnd>
 void
@@ -32,9 +33,13 @@
   auto call = std::make_shared<UnaryCall<Request, Reply>>();
   call->mContext.set_deadline(aDeadline);
   call->mRequest = std::move(aRequest);
-  aStarter(&call->mContext, &call->mRequest, &call->mReply, [aContext, call, aOnEnd](const grpc::Status& aStatus) {
-    Post(aContext, [call, aOnEnd, aStatus] { aOnEnd(aStatus, call->mReply); });
-  });
+  aStarter(&call->mContext,
+           &call->mRequest,
+           &call->mReply,
+           [aContext, call, aOnEnd](const grpc::Status& aStatus) {
+             Post(aContext,
+                  [call, aOnEnd, aStatus] { aOnEnd(aStatus, call->mReply); });
+           });
 }
 
 }
--- /dev/null
+++ b/tests/host/bench.cpp
@@ -0,0 +1,270 @@
+#include "bench.h"
+
+#include <QCoreApplication>
+#include <QDateTime>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <csignal>
+#include <cstdio>
+#include <set>
+#include <sys/prctl.h>
+
+namespace {
+
+constexpr int kExitTimeoutMilliseconds = 20000;
+constexpr int kRunTimeoutMilliseconds = 60000;
+
+int
+SignalNumber(const QString& aName)
+{
+  static const std::map<QString, int> sNumbers{ { "TERM", SIGTERM },
+                                                { "KILL", SIGKILL },
+                                                { "STOP", SIGSTOP },
+                                                { "CONT", SIGCONT } };
+  return sNumbers.at(aName);
+}
+
+}
+
+Bench::Bench(const QString& aPrograms, const QString& aScripts)
+  : mPrograms(aPrograms)
+  , mScripts(aScripts)
+{
+}
+
+Bench::~Bench()
+{
+  for (auto& [name, process] : mProcesses) {
+    process->kill();
+  }
+  for (auto& [name, process] : mProcesses) {
+    process->waitForFinished();
+  }
+}
+
+int
+Bench::port()
+{
+  // Ports below the range for outgoing connections, so that none is taken
+  // between here and its use.
+  static std::set<int> sGiven;
+  static int sNext = 10000 + (QCoreApplication::applicationPid() * 97) % 20000;
+  while (true) {
+    sNext = sNext >= 31000 ? 10000 : sNext + 1;
+    QTcpServer server;
+    if (!sGiven.contains(sNext) &&
+        server.listen(QHostAddress::LocalHost, static_cast<quint16>(sNext))) {
+      sGiven.insert(sNext);
+      return sNext;
+    }
+  }
+}
+
+QString
+Bench::write(const QString& aName, const QString& aText)
+{
+  QFile file(mFolder.filePath(aName));
+  file.open(QIODevice::WriteOnly);
+  file.write(aText.toUtf8());
+  return file.fileName();
+}
+
+void
+Bench::start(const QString& aName,
+             const QString& aProgram,
+             const QStringList& aArguments)
+{
+  auto process = std::make_unique<QProcess>();
+  process->setProgram(mPrograms + "/" + aProgram);
+  process->setArguments(aArguments);
+  process->setProcessChannelMode(QProcess::MergedChannels);
+  process->setStandardOutputFile(mFolder.filePath(aName + ".log"),
+                                 QIODevice::Append);
+  process->setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  process->start();
+  process->waitForStarted();
+  mProcesses[aName] = std::move(process);
+}
+
+void
+Bench::signal(const QString& aName, const QString& aSignal)
+{
+  QProcess& process = *mProcesses.at(aName);
+  ::kill(static_cast<pid_t>(process.processId()), SignalNumber(aSignal));
+  if (aSignal == "KILL") {
+    process.waitForFinished();
+  }
+}
+
+bool
+Bench::isRunning(const QString& aName)
+{
+  QCoreApplication::processEvents();
+  return mProcesses.at(aName)->state() == QProcess::Running;
+}
+
+int
+Bench::exitCode(const QString& aName)
+{
+  QProcess& process = *mProcesses.at(aName);
+  process.waitForFinished(kExitTimeoutMilliseconds);
+  return process.state() == QProcess::NotRunning &&
+             process.exitStatus() == QProcess::NormalExit
+           ? process.exitCode()
+           : -1;
+}
+
+double
+Bench::memory(const QString& aName)
+{
+  QFile file(
+    QStringLiteral("/proc/%1/statm").arg(mProcesses.at(aName)->processId()));
+  file.open(QIODevice::ReadOnly);
+  return file.readAll().split(' ').value(1).toDouble() *
+         static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+QString
+Bench::output(const QString& aName)
+{
+  QFile file(mFolder.filePath(aName + ".log"));
+  file.open(QIODevice::ReadOnly);
+  return QString::fromUtf8(file.readAll());
+}
+
+QVariantMap
+Bench::run(const QString& aProgram, const QStringList& aArguments)
+{
+  QProcess process;
+  process.start(mPrograms + "/" + aProgram, aArguments);
+  process.waitForFinished(kRunTimeoutMilliseconds);
+  return { { "code",
+             process.exitStatus() == QProcess::NormalExit ? process.exitCode()
+                                                          : -1 },
+           { "out", QString::fromUtf8(process.readAllStandardOutput()) },
+           { "err", QString::fromUtf8(process.readAllStandardError()) } };
+}
+
+int
+Bench::open(const QVariantMap& aRequest)
+{
+  QNetworkRequest request(QUrl(aRequest["url"].toString()));
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  request.setRawHeader("Connection", "close");
+  const QVariantMap headers = aRequest["headers"].toMap();
+  for (auto it = headers.begin(); it != headers.end(); ++it) {
+    request.setRawHeader(it.key().toUtf8(), it.value().toString().toUtf8());
+  }
+  request.setTransferTimeout(aRequest.value("timeout", 30000).toInt());
+  const QByteArray method = aRequest.value("method", "GET").toString().toUtf8();
+  const int number = ++mNext;
+  QNetworkReply* reply = mManager.sendCustomRequest(
+    request, method, aRequest["body"].toString().toUtf8());
+  mRequests[number] = { reply, {} };
+  connect(reply, &QNetworkReply::readyRead, this, [this, number, reply] {
+    mRequests[number].mBody += reply->readAll();
+  });
+  return number;
+}
+
+QVariantMap
+Bench::look(int aNumber)
+{
+  Request& request = mRequests.at(aNumber);
+  request.mBody += request.mReply->readAll();
+  QVariantMap headers;
+  for (const auto& [name, value] : request.mReply->rawHeaderPairs()) {
+    headers[QString::fromUtf8(name.toLower())] = QString::fromUtf8(value);
+  }
+  const bool isBroken =
+    request.mReply->error() != QNetworkReply::NoError &&
+    request.mReply->error() < QNetworkReply::ContentAccessDenied;
+  return { { "done", request.mReply->isFinished() },
+           { "status",
+             request.mReply->attribute(QNetworkRequest::HttpStatusCodeAttribute)
+               .toInt() },
+           { "body", QString::fromUtf8(request.mBody) },
+           { "headers", headers },
+           { "broken", isBroken },
+           { "error", request.mReply->errorString() } };
+}
+
+void
+Bench::close(int aNumber)
+{
+  const auto node = mRequests.extract(aNumber);
+  QNetworkReply* reply = node.mapped().mReply;
+  disconnect(reply, nullptr, this, nullptr);
+  reply->abort();
+  reply->deleteLater();
+}
+
+int
+Bench::openRaw(int aPort, const QString& aText, int aReadBytes)
+{
+  const int number = ++mNext;
+  auto socket = std::make_unique<QTcpSocket>();
+  socket->setReadBufferSize(std::max(1, aReadBytes));
+  socket->connectToHost(QHostAddress::LocalHost, static_cast<quint16>(aPort));
+  socket->waitForConnected();
+  socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, 4096);
+  socket->write(aText.toUtf8());
+  socket->flush();
+  mSockets[number] = std::move(socket);
+  return number;
+}
+
+QString
+Bench::readRaw(int aNumber)
+{
+  QByteArray& bytes = mSocketBytes[aNumber];
+  bytes += mSockets.at(aNumber)->readAll();
+  return QString::fromUtf8(bytes);
+}
+
+void
+Bench::closeRaw(int aNumber)
+{
+  mSockets.erase(aNumber);
+}
+
+void
+Bench::turn(int aMilliseconds)
+{
+  QEventLoop loop;
+  QTimer::singleShot(aMilliseconds, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+double
+Bench::now()
+{
+  return static_cast<double>(QDateTime::currentMSecsSinceEpoch());
+}
+
+QString
+Bench::golden(const QString& aName)
+{
+  QFile file(mScripts + "/golden/" + aName);
+  return file.open(QIODevice::ReadOnly) ? QString::fromUtf8(file.readAll())
+                                        : QString();
+}
+
+void
+Bench::writeGolden(const QString& aName, const QString& aText)
+{
+  QFile file(mScripts + "/golden/" + aName);
+  file.open(QIODevice::WriteOnly);
+  file.write(aText.toUtf8());
+}
+
+void
+Bench::print(const QString& aText)
+{
+  std::printf("%s\n", qPrintable(aText));
+  std::fflush(stdout);
+}
--- /dev/null
+++ b/tests/standins/enginestandin.cpp
@@ -0,0 +1,225 @@
+#include "standins.h"
+
+#include "framework/global/identifiers.h"
+
+namespace beryllever::standins {
+
+namespace {
+
+constexpr int kDefaultTokens = 8;
+constexpr int kServedUntilWarm = 12;
+constexpr size_t kMaxUnreadBytes = 128 * 1024;
+
+std::string
+Event(int aToken, int aTokenBytes)
+{
+  std::string content = "t" + std::to_string(aToken) + " ";
+  content.resize(
+    std::max<size_t>(content.size(), static_cast<size_t>(aTokenBytes)), '.');
+  const Json delta{
+    { "choices", Json::array({ { { "delta", { { "content", content } } } } }) }
+  };
+  return "data: " + delta.dump() + "\n\n";
+}
+
+}
+
+struct EngineStandin::Generation
+{
+  net::HttpExchange* mExchange = nullptr;
+  std::string mRequestId;
+  int mTokens = 0;
+  int mTokenBytes = 0;
+  int mToken = 0;
+  /** Bytes before this offset are not sent. */
+  uint64_t mSkip = 0;
+  uint64_t mOffset = 0;
+  bool mIsStreamed = false;
+  bool mIsOver = false;
+};
+
+EngineStandin::EngineStandin(int aBears, int aColdBears, int aTokenMilliseconds)
+  : mBears(aBears)
+  , mColdBears(aColdBears)
+  , mTokenMilliseconds(aTokenMilliseconds)
+  , mIncarnation(global::RandomHex(4))
+{
+}
+
+int
+EngineStandin::Bears() const
+{
+  return mServed >= kServedUntilWarm
+           ? mBears
+           : mColdBears + (mBears - mColdBears) * mServed / kServedUntilWarm;
+}
+
+void
+EngineStandin::Handle(net::HttpExchange* aExchange)
+{
+  const net::HttpRequest& request = aExchange->Request();
+  if (request.mPath == "/v1/chat/completions") {
+    Chat(aExchange);
+  } else if (request.mPath == "/health") {
+    ReplyJson(aExchange,
+              200,
+              { { "incarnation", mIncarnation },
+                { "ready", true },
+                { "cacheEntries", mServed * 4 },
+                { "running", mRunning } });
+  } else if (request.mPath.startsWith("/v1/requests/") &&
+             request.mMethod == "DELETE") {
+    const auto generation =
+      mByRequest[request.mPath.mid(13).toStdString()].lock();
+    if (generation && !generation->mIsOver) {
+      ++mCancelled;
+      End(generation);
+    }
+    ReplyJson(aExchange, 200, {});
+  } else if (request.mPath == "/v1/expert-map/schedule") {
+    Schedule(aExchange);
+  } else {
+    Control(aExchange);
+  }
+}
+
+void
+EngineStandin::Chat(net::HttpExchange* aExchange)
+{
+  if (mIsNonsense) {
+    aExchange->Reply(
+      200, { { "Content-Type", "text/html" } }, "<html>nonsense");
+    return;
+  }
+  if (mRunning >= Bears()) {
+    ++mOverloads;
+  }
+  const Json body = BodyOf(aExchange);
+  auto generation = std::make_shared<Generation>();
+  generation->mExchange = aExchange;
+  generation->mRequestId =
+    aExchange->Request().Header("x-request-id").toStdString();
+  generation->mTokens = body.value("max_tokens", kDefaultTokens);
+  generation->mTokenBytes = body.value("token_bytes", 0);
+  generation->mIsStreamed = body.value("stream", false);
+  generation->mSkip =
+    aExchange->Request().Header("last-event-id").toULongLong();
+  mResumed += generation->mSkip > 0;
+  mMostRunning = std::max(mMostRunning, ++mRunning);
+  mByRequest[generation->mRequestId] = generation;
+  aExchange->SetOnGone([this, generation] {
+    generation->mExchange = nullptr;
+    End(generation);
+  });
+  if (generation->mIsStreamed) {
+    aExchange->BeginStream(200, { { "Content-Type", "text/event-stream" } });
+  }
+  Step(generation);
+}
+
+void
+EngineStandin::Step(const std::shared_ptr<Generation>& aGeneration)
+{
+  if (aGeneration->mIsOver) {
+    return;
+  }
+  if (aGeneration->mIsStreamed && aGeneration->mExchange->PendingBytes() >
+                                    static_cast<qint64>(kMaxUnreadBytes)) {
+    QTimer::singleShot(
+      20, &mContext, [this, aGeneration] { Step(aGeneration); });
+    return;
+  }
+  const bool isLast = aGeneration->mToken >= aGeneration->mTokens;
+  if (aGeneration->mIsStreamed) {
+    const std::string event =
+      isLast ? "data: [DONE]\n\n"
+             : Event(aGeneration->mToken, aGeneration->mTokenBytes);
+    const uint64_t start = aGeneration->mOffset;
+    aGeneration->mOffset += event.size();
+    if (aGeneration->mOffset > aGeneration->mSkip) {
+      const uint64_t skip =
+        aGeneration->mSkip > start ? aGeneration->mSkip - start : 0;
+      aGeneration->mExchange->WriteChunk(
+        QByteArray::fromStdString(event.substr(skip)));
+    }
+  }
+  if (isLast) {
+    ++mServed;
+    net::HttpExchange* exchange =
+      std::exchange(aGeneration->mExchange, nullptr);
+    End(aGeneration);
+    if (aGeneration->mIsStreamed) {
+      exchange->EndStream();
+    } else {
+      ReplyJson(
+        exchange,
+        200,
+        { { "choices",
+            Json::array({ { { "message", { { "content", "whole" } } } } }) } });
+    }
+    return;
+  }
+  ++aGeneration->mToken;
+  const bool isSkipping = aGeneration->mOffset < aGeneration->mSkip;
+  QTimer::singleShot(isSkipping ? 0 : mTokenMilliseconds,
+                     &mContext,
+                     [this, aGeneration] { Step(aGeneration); });
+}
+
+void
+EngineStandin::End(const std::shared_ptr<Generation>& aGeneration)
+{
+  if (aGeneration->mIsOver) {
+    return;
+  }
+  aGeneration->mIsOver = true;
+  --mRunning;
+  if (aGeneration->mExchange) {
+    aGeneration->mExchange->Abort();
+  }
+}
+
+void
+EngineStandin::Schedule(net::HttpExchange* aExchange)
+{
+  if (aExchange->Request().mMethod == "GET") {
+    ReplyJson(
+      aExchange,
+      200,
+      { { "schedule", mSchedule }, { "step", mStep }, { "fence", mFence } });
+    return;
+  }
+  const uint64_t fence =
+    aExchange->Request().Header("x-fencing-number").toULongLong();
+  if (mChecksFence && fence < mFence) {
+    ReplyJson(aExchange, 409, { { "error", "old fencing number" } });
+    return;
+  }
+  mFence = std::max(mFence, fence);
+  mSchedule = BodyOf(aExchange)["schedule"];
+  ReplyJson(aExchange, 200, { { "step", mStep } });
+}
+
+void
+EngineStandin::Control(net::HttpExchange* aExchange)
+{
+  const QByteArray path = aExchange->Request().mPath;
+  const Json body = BodyOf(aExchange);
+  if (path == "/standin/cold") {
+    mServed = 0;
+  } else if (path == "/standin/mode") {
+    mIsNonsense = body.value("nonsense", mIsNonsense);
+    mTokenMilliseconds = body.value("tokenMilliseconds", mTokenMilliseconds);
+    mChecksFence = body.value("checksFence", mChecksFence);
+  }
+  ReplyJson(aExchange,
+            200,
+            { { "served", mServed },
+              { "running", mRunning },
+              { "mostRunning", mMostRunning },
+              { "overloads", mOverloads },
+              { "cancelled", mCancelled },
+              { "resumed", mResumed } });
+}
+
+}
--- a/tests/unit/main.cpp
+++ b/tests/unit/main.cpp
@@ -7,7 +7,8 @@
 int
 main(int aCount, char** aArguments)
 {
-  // Libraries keep objects for the life of the process, which the detector takes for leaks.
+  // Libraries keep objects for the life of the process, which the detector
+  // takes for leaks.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
 #ifdef BERYLLEVER_QT_TEST
   QCoreApplication application(aCount, aArguments);
