--- a/src/agent/internal/agentcore.cpp
+++ b/src/agent/internal/agentcore.cpp
@@ -99,8 +99,8 @@
 {
   std::erase(mStreams, aStream);
   const bool hasOther =
-    std::any_of(mStreams.begin(), mStreams.end(), [&](const auto& stream) {
-      return stream->mEntry == aStream->mEntry;
+    std::any_of(mStreams.begin(), mStreams.end(), [&](const auto& aStream) {
+      return aStream->mEntry == aStream->mEntry;
     });
   if (!hasOther) {
     mLedger.Drop(aStream->mEntry);
--- a/src/app/internal/coremodule.cpp
+++ b/src/app/internal/coremodule.cpp
@@ -74,8 +74,9 @@
   {
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
     mServer = aKernel.Get<transport::GrpcServer>();
-    if (!mServer->Start(settings->PeerAddress())) {
-      throw std::runtime_error("peerAddress " + settings->PeerAddress() +
+    if (!mServer->Start(settings->PeerListenAddress())) {
+      throw std::runtime_error("peerListenAddress " +
+                               settings->PeerListenAddress() +
                                " cannot be listened on");
     }
     const auto address =
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -2,25 +2,19 @@
 
 #include "framework/settings/jsondocument.h"
 
+#include <CLI/CLI.hpp>
 #include <chrono>
 #include <string>
 #include <vector>
 
-namespace CLI {
-class App;
-}
-
 namespace beryllever::cli {
 
-/** Exit codes of the command-line tool, as its help states them. */
-enum ExitCode
-{
-  kExitGood = 0,
-  kExitFailed = 1,
-  kExitBadInput = 2,
-  kExitNotRun = 3,
-  kExitUnknown = 4,
-};
+// Exit codes of the command-line tool, as its help states them.
+inline constexpr int kExitGood = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadInput = 2;
+inline constexpr int kExitNotRun = 3;
+inline constexpr int kExitUnknown = 4;
 
 /** What all commands share. */
 struct CommonOptions
--- a/src/cli/internal/check.cpp
+++ b/src/cli/internal/check.cpp
@@ -43,7 +43,7 @@
       } else {
         std::cout << "accepted: " << entries.size() << " entries" << std::endl;
       }
-      return int(kExitGood);
+      return kExitGood;
     },
     [&](const global::Error& aError) {
       if (aCommon.mIsJson) {
@@ -53,7 +53,7 @@
       } else {
         std::cerr << "refused: " << aError.mMessage << std::endl;
       }
-      return int(kExitBadInput);
+      return kExitBadInput;
     });
 }
 
--- a/src/cli/internal/reports.cpp
+++ b/src/cli/internal/reports.cpp
@@ -100,8 +100,8 @@
 PrintSpans(const Json& aTrace)
 {
   std::vector<Json> spans = aTrace["spans"];
-  std::sort(spans.begin(), spans.end(), [](const Json& a, const Json& b) {
-    return a["startTime"] < b["startTime"];
+  std::sort(spans.begin(), spans.end(), [](const Json& a_, const Json& aRight) {
+    return a_["startTime"] < aRight["startTime"];
   });
   std::vector<std::vector<std::string>> rows{
     { "hop", "process", "start us", "took us", "endpoint", "end" }
--- a/src/configuration/internal/processsettings.cpp
+++ b/src/configuration/internal/processsettings.cpp
@@ -22,6 +22,7 @@
     , mVm(aJson["vm"])
     , mAvailabilityZone(aJson["availabilityZone"])
     , mPeerAddress(aJson["peerAddress"])
+    , mPeerListenAddress(aJson.value("peerListenAddress", mPeerAddress))
     , mOperatorAddress(aJson["operatorAddress"])
     , mCallerAddress(aJson.value("callerAddress", ""))
     , mBackEnd(aJson.value("backEnd", ""))
@@ -40,6 +41,10 @@
     return mAvailabilityZone;
   }
   const std::string& PeerAddress() const override { return mPeerAddress; }
+  const std::string& PeerListenAddress() const override
+  {
+    return mPeerListenAddress;
+  }
   const std::string& OperatorAddress() const override
   {
     return mOperatorAddress;
@@ -71,6 +76,7 @@
   std::string mVm;
   std::string mAvailabilityZone;
   std::string mPeerAddress;
+  std::string mPeerListenAddress;
   std::string mOperatorAddress;
   std::string mCallerAddress;
   std::string mBackEnd;
--- a/src/configuration/processsettings.h
+++ b/src/configuration/processsettings.h
@@ -34,6 +34,9 @@
   virtual const std::string& AvailabilityZone() const = 0;
   /** Address for the system's own processes. */
   virtual const std::string& PeerAddress() const = 0;
+  /** Address to listen on for the system's own processes; differs from
+   * PeerAddress behind address translation. */
+  virtual const std::string& PeerListenAddress() const = 0;
   /** Address for operators: status, metrics, health. */
   virtual const std::string& OperatorAddress() const = 0;
   /** Address for callers; an entry's only. */
--- a/src/credits/endpointcapacity.h
+++ b/src/credits/endpointcapacity.h
@@ -15,7 +15,7 @@
 
 /**
  * Works out how many requests a back end bears now. It starts at the cold
- * bound, doubles after as many completions as the bound at that time, and falls
+ * bound, grows by one after as many completions as it bears then, and falls
  * back to the cold bound when the back end shows that it has lost its warmth.
  */
 class EndpointCapacity
--- a/src/credits/internal/creditledger.cpp
+++ b/src/credits/internal/creditledger.cpp
@@ -95,8 +95,8 @@
       holder.mWanted = 0;
     }
   }
-  std::erase_if(mHolders, [&](const auto& entry) {
-    return now >= entry.second.mLease.mDeadline && entry.second.mRunning == 0;
+  std::erase_if(mHolders, [&](const auto& aEntry) {
+    return now >= aEntry.second.mLease.mDeadline && aEntry.second.mRunning == 0;
   });
 }
 
@@ -110,8 +110,8 @@
 CreditLedger::FairShare() const
 {
   const auto active =
-    std::count_if(mHolders.begin(), mHolders.end(), [](const auto& entry) {
-      return entry.second.mWanted > 0;
+    std::count_if(mHolders.begin(), mHolders.end(), [](const auto& aEntry) {
+      return aEntry.second.mWanted > 0;
     });
   return std::max<Slots>(
     1, mCapacity / std::max<Slots>(1, static_cast<Slots>(active)));
--- a/src/credits/internal/endpointcapacity.cpp
+++ b/src/credits/internal/endpointcapacity.cpp
@@ -67,7 +67,7 @@
              : aFirstByte;
   if (++mCompletions >= mBears) {
     mCompletions = 0;
-    mBears = std::min(mBears * 2, mBounds.mWarm);
+    mBears = std::min(mBears + 1, mBounds.mWarm);
   }
 }
 
--- a/src/distribution/internal/configurationnode.cpp
+++ b/src/distribution/internal/configurationnode.cpp
@@ -66,8 +66,8 @@
   mFollowers.push_back(
     { aStream, aRequest.tables_revision(), aRequest.vms_revision() });
   aStream->SetOnGone([this, stream = aStream.get()] {
-    mFollowers.remove_if([&](const Follower& follower) {
-      return follower.mStream.get() == stream;
+    mFollowers.remove_if([&](const Follower& aFollower) {
+      return aFollower.mStream.get() == stream;
     });
   });
   SendChanges(mFollowers.back());
@@ -300,8 +300,8 @@
   mIsWatcher =
     isEntry && std::any_of(watchers.begin(),
                            watchers.end(),
-                           [&](const spread::Candidate& candidate) {
-                             return candidate.mVm == mSettings->VmName();
+                           [&](const spread::Candidate& aCandidate) {
+                             return aCandidate.mVm == mSettings->VmName();
                            });
   if (mIsWatcher) {
     mPlatform->StartWatching();
@@ -309,14 +309,14 @@
     mPlatform->StopWatching();
   }
   const auto addresses = SourceAddresses(isEntry ? watchers : entries);
-  mSources.remove_if([&](const auto& source) {
-    return std::find(addresses.begin(), addresses.end(), source->Address()) ==
+  mSources.remove_if([&](const auto& aSource) {
+    return std::find(addresses.begin(), addresses.end(), aSource->Address()) ==
            addresses.end();
   });
   for (const std::string& address : addresses) {
     const bool isFollowed =
-      std::any_of(mSources.begin(), mSources.end(), [&](const auto& source) {
-        return source->Address() == address;
+      std::any_of(mSources.begin(), mSources.end(), [&](const auto& aSource) {
+        return aSource->Address() == address;
       });
     if (!isFollowed) {
       mSources.push_back(std::make_unique<FollowClient>(
--- a/src/entry/internal/callerinterface.cpp
+++ b/src/entry/internal/callerinterface.cpp
@@ -72,12 +72,12 @@
     { "POST", "/v1/outcomes", &CallerInterface::HandleOutcome, false },
   };
   const auto* it = std::find_if(
-    std::begin(sEntries), std::end(sEntries), [&](const Entry& entry) {
-      const QByteArray path(entry.mPath);
+    std::begin(sEntries), std::end(sEntries), [&](const Entry& aEntry) {
+      const QByteArray path(aEntry.mPath);
       const bool isPathMatch = path.endsWith('/')
                                  ? aRequest.mPath.startsWith(path)
                                  : aRequest.mPath == path;
-      return aRequest.mMethod == entry.mMethod && isPathMatch;
+      return aRequest.mMethod == aEntry.mMethod && isPathMatch;
     });
   return it == std::end(sEntries) ? nullptr : it;
 }
@@ -197,8 +197,8 @@
   const auto other =
     std::find_if(addresses.begin(),
                  addresses.end(),
-                 [&](const routing::EntryAddress& address) {
-                   return address.mVm != mContext.mSettings->VmName();
+                 [&](const routing::EntryAddress& aDdress) {
+                   return aDdress.mVm != mContext.mSettings->VmName();
                  });
   if (other == addresses.end()) {
     AnswerError(
--- a/src/entry/internal/relaysession.cpp
+++ b/src/entry/internal/relaysession.cpp
@@ -22,6 +22,9 @@
 /** A broken stream is given up if no byte has come for this time. */
 constexpr std::chrono::seconds kResumeTime{ 20 };
 constexpr std::chrono::milliseconds kResumeDelay{ 100 };
+/** A caller that has not read for this time gives its place at the endpoint to
+ * others. */
+constexpr std::chrono::milliseconds kParkTime{ 2000 };
 
 bool
 IsRefusal(ErrorKind aKind)
@@ -272,11 +275,49 @@
 void
 RelaySession::ReadNext()
 {
-  mIsHeldBack = mExchange && mExchange->PendingBytes() >=
-                               mContext.mSettings->Limits().mStreamBytes / 2;
-  if (!mIsHeldBack && mCall) {
-    mCall->Read();
+  if (!mCall) {
+    return;
+  }
+  if (mExchange->PendingBytes() >=
+      mContext.mSettings->Limits().mStreamBytes / 2) {
+    HoldBack();
+    return;
+  }
+  mIsHeldBack = false;
+  mParkDeadline = global::TimePoint::max();
+  if (mIsParked) {
+    mIsParked = false;
+    mContext.mRouter.Rejoin(mPlacedAt);
+  }
+  mCall->Read();
+}
+
+void
+RelaySession::HoldBack()
+{
+  if (mIsHeldBack) {
+    return;
+  }
+  mIsHeldBack = true;
+  mParkDeadline = mContext.mClock.Now() + kParkTime;
+  const std::weak_ptr<Session> weak = weak_from_this();
+  QTimer::singleShot(kParkTime, mContext.mTraffic, [weak] {
+    if (const auto self = std::static_pointer_cast<RelaySession>(weak.lock())) {
+      self->Park();
+    }
+  });
+}
+
+void
+RelaySession::Park()
+{
+  if (mIsOver || mIsParked || !mIsHeldBack ||
+      mContext.mClock.Now() < mParkDeadline) {
+    return;
   }
+  mIsParked = true;
+  mContext.mMetrics.Count("beryllever_streams_parked_total");
+  mContext.mRouter.Return(mPlacedAt, PlacementEnd::Served);
 }
 
 void
@@ -348,10 +389,12 @@
     mCall->Cancel();
     mCall.reset();
   }
-  if (!mPlacedAt.empty()) {
+  if (!mPlacedAt.empty() && !mIsParked) {
     mContext.mRouter.Return(mPlacedAt, aEnd);
-    mPlacedAt.clear();
   }
+  mPlacedAt.clear();
+  mIsParked = false;
+  mIsHeldBack = false;
 }
 
 std::string
--- a/src/entry/internal/relaysession.h
+++ b/src/entry/internal/relaysession.h
@@ -45,6 +45,8 @@
   void HandleCallEnd(uint64_t aAttempt, const grpc::Status& aStatus);
   void HandleDeadline();
   void ReadNext();
+  void HoldBack();
+  void Park();
   void TryResume(const global::Error& aError);
   void TryElsewhere(const global::Error& aError);
   void EndWithError(const global::Error& aError);
@@ -64,10 +66,13 @@
   bool mIsFixed = false;
   bool mHasHead = false;
   bool mIsHeldBack = false;
+  /** The placement has been returned while the caller reads slowly. */
+  bool mIsParked = false;
   bool mIsOver = false;
   /** An earlier attempt may have run, so no refusal may claim that the request
    * has not. */
   bool mMayHaveRun = false;
+  global::TimePoint mParkDeadline = global::TimePoint::max();
   global::TimePoint mResumeDeadline = global::TimePoint::max();
 };
 
--- a/src/entry/internal/router.cpp
+++ b/src/entry/internal/router.cpp
@@ -71,6 +71,15 @@
                   [this, aAddress, aEnd] { Release(aAddress, aEnd); });
 }
 
+void
+Router::Rejoin(const std::string& aAddress)
+{
+  transport::Post(&mContext, [this, aAddress] {
+    mWallet.Use(aAddress);
+    UpdateDemand();
+  });
+}
+
 void
 Router::Decide(Pending aPending)
 {
@@ -254,8 +263,8 @@
 {
   const std::set<std::string> wanted = WantedLinks();
   mKnownAddresses.insert(wanted.begin(), wanted.end());
-  std::erase_if(mLinks,
-                [&](const auto& link) { return !wanted.contains(link.first); });
+  std::erase_if(
+    mLinks, [&](const auto& aLink) { return !wanted.contains(aLink.first); });
   for (const std::string& address : wanted) {
     LinkFor(address);
   }
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -54,7 +54,7 @@
 
 /**
  * Decides which endpoint serves a request, and when. Lives on the control
- * thread; Acquire and Return may be called from any thread.
+ * thread; Acquire, Return and Rejoin may be called from any thread.
  */
 class Router
 {
@@ -71,6 +71,9 @@
                QObject* aContext,
                std::function<void(Decision)> aOnDecision);
   void Return(const std::string& aAddress, PlacementEnd aEnd);
+  /** Counts a placement again that was returned while its answer was held back.
+   */
+  void Rejoin(const std::string& aAddress);
 
   /** Where a request would go, and why not elsewhere. */
   settings::Json Explain(const std::string& aWorkspace,
--- a/src/framework/global/internal/errors.cpp
+++ b/src/framework/global/internal/errors.cpp
@@ -80,8 +80,8 @@
 KindNamed(std::string_view aName)
 {
   const auto it =
-    std::find_if(kAnswers.begin(), kAnswers.end(), [&](const Answer& a) {
-      return a.mName == aName;
+    std::find_if(kAnswers.begin(), kAnswers.end(), [&](const Answer& a_) {
+      return a_.mName == aName;
     });
   return it == kAnswers.end() ? ErrorKind::Internal : it->mKind;
 }
--- a/src/framework/global/internal/identifiers.cpp
+++ b/src/framework/global/internal/identifiers.cpp
@@ -9,12 +9,12 @@
 std::mt19937_64&
 Engine()
 {
-  thread_local std::mt19937_64 engine{ [] {
+  thread_local std::mt19937_64 sEngine{ [] {
     std::random_device device;
     std::seed_seq seed{ device(), device(), device(), device() };
     return std::mt19937_64(seed);
   }() };
-  return engine;
+  return sEngine;
 }
 
 }
--- a/src/framework/kernel/internal/kernel.cpp
+++ b/src/framework/kernel/internal/kernel.cpp
@@ -58,24 +58,24 @@
 Kernel::BeginStop()
 {
   LOGI("Graceful stop begins; no new work is taken.");
-  std::for_each(mModules.rbegin(), mModules.rend(), [](const auto& module) {
-    module->BeginStop();
+  std::for_each(mModules.rbegin(), mModules.rend(), [](const auto& aModule) {
+    aModule->BeginStop();
   });
 }
 
 bool
 Kernel::IsIdle() const
 {
-  return std::all_of(mModules.begin(), mModules.end(), [](const auto& module) {
-    return module->IsIdle();
+  return std::all_of(mModules.begin(), mModules.end(), [](const auto& aModule) {
+    return aModule->IsIdle();
   });
 }
 
 void
 Kernel::StopAll()
 {
-  std::for_each(mModules.rbegin(), mModules.rend(), [](const auto& module) {
-    module->Stop();
+  std::for_each(mModules.rbegin(), mModules.rend(), [](const auto& aModule) {
+    aModule->Stop();
   });
   LOGI("All work has ended; the process exits.");
 }
--- a/src/framework/log/internal/log.cpp
+++ b/src/framework/log/internal/log.cpp
@@ -18,7 +18,7 @@
   std::transform(aText.begin(),
                  aText.end(),
                  aText.begin(),
-                 [](unsigned char c) { return std::toupper(c); });
+                 [](unsigned char aC) { return std::toupper(aC); });
   return aText;
 }
 
--- a/src/platform/internal/consulplatform.cpp
+++ b/src/platform/internal/consulplatform.cpp
@@ -22,10 +22,10 @@
 {
   const auto ceiling =
     std::min(kMaxBackoff, kMinBackoff * (1 << std::min<size_t>(aFailures, 5)));
-  thread_local std::mt19937 random{ std::random_device{}() };
+  thread_local std::mt19937 sRandom{ std::random_device{}() };
   std::uniform_int_distribution<int64_t> jitter(ceiling.count() / 2,
                                                 ceiling.count());
-  return std::chrono::milliseconds(jitter(random));
+  return std::chrono::milliseconds(jitter(sRandom));
 }
 
 }
--- a/src/routing/internal/addressselector.cpp
+++ b/src/routing/internal/addressselector.cpp
@@ -21,9 +21,9 @@
   }
   std::sort(addresses.begin(),
             addresses.end(),
-            [&](const EntryAddress& a, const EntryAddress& b) {
-              return global::RendezvousWeight(aKey, a.mVm) >
-                     global::RendezvousWeight(aKey, b.mVm);
+            [&](const EntryAddress& a_, const EntryAddress& aRight) {
+              return global::RendezvousWeight(aKey, a_.mVm) >
+                     global::RendezvousWeight(aKey, aRight.mVm);
             });
   return addresses;
 }
--- a/src/routing/internal/endpointselector.cpp
+++ b/src/routing/internal/endpointselector.cpp
@@ -50,8 +50,8 @@
                          const Selection& aSelection) const
 {
   std::vector<Assessment> eligible = Assess(aPool, aSelection);
-  std::erase_if(eligible, [](const Assessment& a) {
-    return a.mEligibility != Eligibility::Eligible;
+  std::erase_if(eligible, [](const Assessment& a_) {
+    return a_.mEligibility != Eligibility::Eligible;
   });
   if (eligible.empty()) {
     return nullptr;
@@ -63,15 +63,15 @@
   const double bound =
     std::max(kAffinityFloor,
              kAffinityBound * sum / static_cast<double>(eligible.size()));
-  const auto weight = [&](const Assessment& a) {
+  const auto weight = [&](const Assessment& a_) {
     return global::RendezvousWeight(aSelection.mAffinityKey,
-                                    a.mEndpoint->mAddress);
+                                    a_.mEndpoint->mAddress);
   };
   const auto preferred =
     std::max_element(eligible.begin(),
                      eligible.end(),
-                     [&](const Assessment& a, const Assessment& b) {
-                       return weight(a) < weight(b);
+                     [&](const Assessment& a_, const Assessment& aRight) {
+                       return weight(a_) < weight(aRight);
                      });
   if (preferred->mUsage <= bound) {
     return preferred->mEndpoint;
@@ -79,8 +79,8 @@
   const auto least =
     std::min_element(eligible.begin(),
                      eligible.end(),
-                     [](const Assessment& a, const Assessment& b) {
-                       return a.mUsage < b.mUsage;
+                     [](const Assessment& a_, const Assessment& aRight) {
+                       return a_.mUsage < aRight.mUsage;
                      });
   return least->mEndpoint;
 }
--- a/src/routing/internal/waitqueue.cpp
+++ b/src/routing/internal/waitqueue.cpp
@@ -55,8 +55,8 @@
 {
   for (auto it = mClasses.begin(); it != mClasses.end(); ++it) {
     for (auto& [workspace, lane] : it->second) {
-      if (std::erase_if(lane.mWaiters, [&](const Waiter& waiter) {
-            return waiter.mId == aId;
+      if (std::erase_if(lane.mWaiters, [&](const Waiter& aWaiter) {
+            return aWaiter.mId == aId;
           }) > 0) {
         --mSize;
         EraseIfEmpty(it, std::string(workspace));
@@ -77,7 +77,7 @@
         lane.mWaiters.begin(),
         lane.mWaiters.end(),
         std::back_inserter(expired),
-        [&](const Waiter& waiter) { return aNow >= waiter.mDeadline; });
+        [&](const Waiter& aWaiter) { return aNow >= aWaiter.mDeadline; });
     }
   }
   for (const Waiter& waiter : expired) {
@@ -95,9 +95,9 @@
   }
   const auto longest = std::max_element(lowest->second.begin(),
                                         lowest->second.end(),
-                                        [](const auto& a, const auto& b) {
-                                          return a.second.mWaiters.size() <
-                                                 b.second.mWaiters.size();
+                                        [](const auto& a_, const auto& aRight) {
+                                          return a_.second.mWaiters.size() <
+                                                 aRight.second.mWaiters.size();
                                         });
   const bool isSameClass = aWaiter.mPriority == lowest->first;
   if (isSameClass && longest->first == aWaiter.mWorkspace) {
@@ -112,8 +112,8 @@
 WaitQueue::NextLane(Class& aClass) const
 {
   return std::min_element(
-    aClass.begin(), aClass.end(), [](const auto& a, const auto& b) {
-      return a.second.mStart < b.second.mStart;
+    aClass.begin(), aClass.end(), [](const auto& a_, const auto& aRight) {
+      return a_.second.mStart < aRight.second.mStart;
     });
 }
 
--- a/src/spread/internal/sourceselection.cpp
+++ b/src/spread/internal/sourceselection.cpp
@@ -17,9 +17,9 @@
 {
   std::sort(aCandidates.begin(),
             aCandidates.end(),
-            [&](const Candidate& a, const Candidate& b) {
-              return global::RendezvousWeight(aKey, a.mVm) >
-                     global::RendezvousWeight(aKey, b.mVm);
+            [&](const Candidate& a_, const Candidate& aRight) {
+              return global::RendezvousWeight(aKey, a_.mVm) >
+                     global::RendezvousWeight(aKey, aRight.mVm);
             });
   return aCandidates;
 }
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -4,6 +4,7 @@
 #include <QDateTime>
 #include <QElapsedTimer>
 #include <QEventLoop>
+#include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
@@ -29,6 +30,69 @@
 
 }
 
+/** Passes bytes between callers and one port. */
+class Relay : public QObject
+{
+public:
+  Relay(int aPort, int aTarget)
+    : mTarget(aTarget)
+  {
+    mServer.listen(QHostAddress::LocalHost, static_cast<quint16>(aPort));
+    connect(&mServer, &QTcpServer::newConnection, this, [this] { Accept(); });
+  }
+
+  void Silence()
+  {
+    for (const auto& socket : mSockets) {
+      if (socket) {
+        socket->disconnect();
+      }
+    }
+    mSockets.clear();
+  }
+
+  void Cut(bool aIsCut)
+  {
+    mIsCut = aIsCut;
+    for (const auto& socket : std::exchange(mSockets, {})) {
+      if (socket) {
+        socket->abort();
+      }
+    }
+  }
+
+private:
+  void Accept()
+  {
+    QTcpSocket* near = mServer.nextPendingConnection();
+    if (mIsCut) {
+      near->abort();
+      return;
+    }
+    auto* far = new QTcpSocket(this);
+    far->connectToHost(QHostAddress::LocalHost, static_cast<quint16>(mTarget));
+    Pass(near, far);
+    Pass(far, near);
+    mSockets.push_back(near);
+    mSockets.push_back(far);
+  }
+
+  static void Pass(QTcpSocket* aFrom, QTcpSocket* aTo)
+  {
+    connect(aFrom, &QTcpSocket::readyRead, aTo, [aFrom, aTo] {
+      aTo->write(aFrom->readAll());
+    });
+    connect(aFrom, &QTcpSocket::disconnected, aTo, [aTo] {
+      aTo->disconnectFromHost();
+    });
+  }
+
+  const int mTarget;
+  QTcpServer mServer;
+  bool mIsCut = false;
+  QList<QPointer<QTcpSocket>> mSockets;
+};
+
 Bench::Bench(const QString& aPrograms, const QString& aScripts)
   : mPrograms(aPrograms)
   , mScripts(aScripts)
@@ -232,6 +296,26 @@
   mSockets.erase(aNumber);
 }
 
+int
+Bench::relay(int aTarget)
+{
+  const int number = port();
+  mRelays[number] = std::make_unique<Relay>(number, aTarget);
+  return number;
+}
+
+void
+Bench::silence(int aRelay)
+{
+  mRelays.at(aRelay)->Silence();
+}
+
+void
+Bench::cut(int aRelay, bool aIsCut)
+{
+  mRelays.at(aRelay)->Cut(aIsCut);
+}
+
 void
 Bench::turn(int aMilliseconds)
 {
--- a/tests/host/bench.h
+++ b/tests/host/bench.h
@@ -13,11 +13,15 @@
 
 /** What scripts can do: start and signal processes, send requests, wait for
  * conditions. */
+class Relay;
+
 class Bench : public QObject
 {
   Q_OBJECT
 
 public:
+  // Scripts call these by the names that JavaScript expects.
+  // NOLINTBEGIN(readability-identifier-naming)
   Bench(const QString& aPrograms, const QString& aScripts);
   ~Bench() override;
 
@@ -47,6 +51,12 @@
   Q_INVOKABLE int openRaw(int aPort, const QString& aText, int aReadBytes);
   Q_INVOKABLE QString readRaw(int aNumber);
   Q_INVOKABLE void closeRaw(int aNumber);
+  /** Relays a port to another one; returns the port. */
+  Q_INVOKABLE int relay(int aTarget);
+  /** Lets the relay's open connections go silent for good; new ones work. */
+  Q_INVOKABLE void silence(int aRelay);
+  /** Refuses new connections and cuts open ones, or takes them again. */
+  Q_INVOKABLE void cut(int aRelay, bool aIsCut);
   /** Lets time pass in the event loop. */
   Q_INVOKABLE void turn(int aMilliseconds);
   Q_INVOKABLE double now();
@@ -54,6 +64,8 @@
   Q_INVOKABLE void writeGolden(const QString& aName, const QString& aText);
   Q_INVOKABLE void print(const QString& aText);
 
+  // NOLINTEND(readability-identifier-naming)
+
 private:
   struct Request
   {
@@ -69,5 +81,6 @@
   std::map<int, Request> mRequests;
   std::map<int, std::unique_ptr<class QTcpSocket>> mSockets;
   std::map<int, QByteArray> mSocketBytes;
+  std::map<int, std::unique_ptr<Relay>> mRelays;
   int mNext = 0;
 };
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -97,6 +97,11 @@
   int mRunning = 0;
   int mMostRunning = 0;
   int mOverloads = 0;
+  int mArrivals = 0;
+  /** Until then, more requests than the cold engine bears do not count: reports
+   * lag. */
+  global::TimePoint mGraceDeadline{};
+  global::SteadyClock mClock;
   int mCancelled = 0;
   int mResumed = 0;
   bool mIsNonsense = false;
