--- a/src/agent/internal/agentcore.cpp
+++ b/src/agent/internal/agentcore.cpp
@@ -346,6 +346,8 @@
     mCapacity.TakeCompletion(aResult.mFirstByte);
   } else if (isServerError) {
     mCapacity.TakeFailure();
+  } else if (aResult.mIsBroken) {
+    mCapacity.TakeBreak();
   }
   if (aRequest.has_ticket()) {
     RecordTicket(transport::FromMessage(aRequest.ticket()), aResult);
--- a/src/agent/internal/backendmonitor.cpp
+++ b/src/agent/internal/backendmonitor.cpp
@@ -72,7 +72,12 @@
 BackEndMonitor::HandleAnswer(const net::HttpOutcome& aOutcome,
                              const QByteArray& aBody)
 {
-  if (!aOutcome.mIsComplete || aOutcome.mStatus != 200) {
+  if (!aOutcome.mIsComplete && !aOutcome.mIsTimedOut) {
+    // Nothing listens, or the process has just gone.
+    mOnReport(std::nullopt);
+    return;
+  }
+  if (aOutcome.mStatus != 200) {
     return;
   }
   if (const auto report = ParseReport(aBody)) {
--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr char kLogTag[] = "agent";
-constexpr qint64 kChunkBytes = 16 * 1024;
+constexpr qint64 kChunkBytes = 8 * 1024;
 constexpr size_t kMaxQueuedUpdates = 2;
 constexpr std::chrono::milliseconds kStallTick{ 250 };
 constexpr std::chrono::milliseconds kStallTime{ 2000 };
@@ -44,10 +44,20 @@
 {
   mSpan.mAttributes["workspace"] = mRequest.workspace();
   mSpan.mAttributes["kind"] = mRequest.kind();
-  // The stream and the timer hold the execution until its end.
-  const auto self = shared_from_this();
-  mStream->SetOnTaken([self] { self->Relay(); });
-  mStream->SetOnGone([self] { self->HandleGone(); });
+  // Held until its end, whoever is there to read: a ticket's outcome must be
+  // recorded.
+  mSelf = shared_from_this();
+  const std::weak_ptr<Execution> weak = mSelf;
+  mStream->SetOnTaken([weak] {
+    if (const auto self = weak.lock()) {
+      self->Relay();
+    }
+  });
+  mStream->SetOnGone([weak] {
+    if (const auto self = weak.lock()) {
+      self->HandleGone();
+    }
+  });
   mStallTimer = new QTimer;
   QObject::connect(
     mStallTimer, &QTimer::timeout, mStallTimer, [this] { CheckStall(); });
@@ -194,6 +204,7 @@
   }
   mResult.mIsComplete = aOutcome.mIsComplete && !mIsTooLarge;
   mResult.mIsSent = aOutcome.mIsSent;
+  mResult.mIsBroken = !aOutcome.mIsComplete;
   mResult.mReason = mIsTooLarge ? "the back end's answer is too large"
                                 : aOutcome.mReason.toStdString();
   if (mResult.mIsComplete) {
@@ -292,7 +303,7 @@
   }
   mIsOver = true;
   // Callers up the stack still use the execution.
-  transport::Post(mContext.mThreadContext, [self = shared_from_this()] {});
+  transport::Post(mContext.mThreadContext, [self = std::move(mSelf)] {});
   mStallTimer->stop();
   mStallTimer->deleteLater();
   mSpan.mAttributes["status"] = std::to_string(aResult.mHttpStatus);
--- a/src/agent/internal/execution.h
+++ b/src/agent/internal/execution.h
@@ -25,6 +25,8 @@
   bool mIsSent = true;
   int mHttpStatus = 0;
   std::string mBody;
+  /** Whether the connection to the back end broke. */
+  bool mIsBroken = false;
   std::chrono::microseconds mFirstByte{ 0 };
   std::string mReason;
 };
@@ -106,6 +108,7 @@
   global::TimePoint mSentAt{};
   global::TimePoint mStallDeadline = global::TimePoint::max();
   ExecutionResult mResult;
+  std::shared_ptr<Execution> mSelf;
 };
 
 }
--- a/src/configuration/processsettings.h
+++ b/src/configuration/processsettings.h
@@ -16,7 +16,7 @@
   int64_t mBodyBytes = 1024 * 1024;
   int mConnections = 4096;
   /** Bytes of an answer held for one caller. */
-  int64_t mStreamBytes = 64 * 1024;
+  int64_t mStreamBytes = 32 * 1024;
   /** Bytes held for all callers and requests. */
   int64_t mHeldBytes = 256 * 1024 * 1024;
   /** Requests that wait for an endpoint. */
--- a/src/credits/endpointcapacity.h
+++ b/src/credits/endpointcapacity.h
@@ -15,7 +15,7 @@
 
 /**
  * Works out how many requests a back end bears now. It starts at the cold
- * bound, grows by one after as many completions as it bears then, and falls
+ * bound, grows by one in every two rounds of completions, and falls
  * back to the cold bound when the back end shows that it has lost its warmth.
  */
 class EndpointCapacity
@@ -32,6 +32,11 @@
   void TakeCompletion(std::chrono::microseconds aFirstByte);
   /** A request has failed in the back end. */
   void TakeFailure();
+  /**
+   * A connection to the back end broke: its process may have been replaced.
+   * Nothing is let in until the next report tells.
+   */
+  void TakeBreak();
 
   Slots Bears() const { return mIsReady ? mBears : 0; }
   bool IsCold() const { return mBears < mBounds.mWarm; }
@@ -45,6 +50,7 @@
   CapacityBounds mBounds;
   Slots mBears;
   bool mIsReady = false;
+  bool mHasBroken = false;
   int mCompletions = 0;
   int mSlowCompletions = 0;
   std::optional<std::string> mIncarnation;
--- a/src/credits/internal/endpointcapacity.cpp
+++ b/src/credits/internal/endpointcapacity.cpp
@@ -1,11 +1,13 @@
 #include "credits/endpointcapacity.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace beryllever::credits {
 
 namespace {
 
+constexpr int kRoundsPerStep = 2;
 constexpr int kSlowFactor = 3;
 constexpr int kSlowCompletionsForCut = 3;
 constexpr int kSmoothing = 16;
@@ -38,6 +40,9 @@
   if (isNew || IsCacheLost(aReport.mCacheEntries)) {
     TurnCold();
   }
+  if (std::exchange(mHasBroken, false) && !isNew) {
+    Halve();
+  }
   mIncarnation = aReport.mIncarnation;
   mCacheEntries = aReport.mCacheEntries;
   mIsReady = aReport.mIsReady;
@@ -65,7 +70,7 @@
   mUsualFirstByte =
     hasUsual ? mUsualFirstByte + (aFirstByte - mUsualFirstByte) / kSmoothing
              : aFirstByte;
-  if (++mCompletions >= mBears) {
+  if (++mCompletions >= mBears * kRoundsPerStep) {
     mCompletions = 0;
     mBears = std::min(mBears + 1, mBounds.mWarm);
   }
@@ -77,6 +82,13 @@
   Halve();
 }
 
+void
+EndpointCapacity::TakeBreak()
+{
+  mHasBroken = true;
+  mIsReady = false;
+}
+
 void
 EndpointCapacity::TurnCold()
 {
--- a/src/entry/internal/session.cpp
+++ b/src/entry/internal/session.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr char kLogTag[] = "entry";
+/** Memory of a session besides its answer: socket, call and their buffers. */
+constexpr int64_t kSessionBytes = 64 * 1024;
+/** A request's body stands in the caller's request, the session and the call.
+ */
+constexpr int64_t kBodyCopies = 3;
 
 }
 
@@ -39,8 +44,9 @@
 {
   mSpan.mAttributes["workspace"] = mRequest.mWorkspace;
   mSpan.mAttributes["kind"] = mRequest.mKind;
-  const int64_t bytes = mContext.mSettings->Limits().mStreamBytes +
-                        static_cast<int64_t>(mRequest.mBody.size());
+  const int64_t bytes =
+    2 * mContext.mSettings->Limits().mStreamBytes + kSessionBytes +
+    kBodyCopies * static_cast<int64_t>(mRequest.mBody.size());
   if (!mContext.mBudget.Reserve(mRequest.mWorkspace, bytes)) {
     Fail({ ErrorKind::Overloaded, "the memory for requests is used up" });
     return;
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -21,6 +21,7 @@
   bool mIsComplete = false;
   /** Whether any byte of the body may have reached the server. */
   bool mIsSent = false;
+  bool mIsTimedOut = false;
   QString mReason;
 };
 
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -109,6 +109,7 @@
     outcome.mStatus != 0 && !mIsTimedOut &&
     (mReply->error() == QNetworkReply::NoError || isHttpError);
   outcome.mIsSent = !mBody || mBody->IsTouched();
+  outcome.mIsTimedOut = mIsTimedOut;
   outcome.mReason = mIsTimedOut
                       ? QStringLiteral("no answer within the time limit")
                       : mReply->errorString();
--- a/src/transport/internal/channel.cpp
+++ b/src/transport/internal/channel.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
-constexpr int kStreamWindowBytes = 64 * 1024;
+constexpr int kStreamWindowBytes = 16 * 1024;
 constexpr int kKeepaliveMilliseconds = 5000;
 constexpr int kKeepaliveTimeoutMilliseconds = 2000;
 constexpr int kMinBackoffMilliseconds = 100;
--- a/src/transport/internal/grpcserver.cpp
+++ b/src/transport/internal/grpcserver.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr int kStreamWindowBytes = 64 * 1024;
+constexpr int kStreamWindowBytes = 16 * 1024;
 constexpr int kMinPingIntervalMilliseconds = 1000;
 constexpr int kKeepaliveMilliseconds = 5000;
 constexpr int kKeepaliveTimeoutMilliseconds = 2000;
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -286,6 +286,7 @@
 Bench::readRaw(int aNumber)
 {
   QByteArray& bytes = mSocketBytes[aNumber];
+  mSockets.at(aNumber)->setReadBufferSize(0);
   bytes += mSockets.at(aNumber)->readAll();
   return QString::fromUtf8(bytes);
 }
