--- /dev/null
+++ b/src/steplease/stepleasetypes.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "steplease/schedule.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace beryllever::steplease {
+
+/** Names one lead of a group. No two leads have the same epoch. */
+struct Epoch
+{
+  uint64_t mCounter = 0;
+  std::string mVm;
+  uint64_t mIncarnation = 0;
+
+  auto operator<=>(const Epoch&) const = default;
+};
+
+/** Incarnations of the agents of all ranks, in the order of the ranks. */
+using Incarnations = std::vector<uint64_t>;
+
+/** Asks a rank to take no orders of lower epochs. */
+struct PromiseRequest
+{
+  Epoch mEpoch;
+  int mRank = 0;
+  /** The incarnations that the lead aims at. */
+  Incarnations mIncarnations;
+
+  auto operator<=>(const PromiseRequest&) const = default;
+};
+
+/** A rank's answer to a request for a promise. */
+struct PromiseReply
+{
+  Epoch mEpoch;
+  int mRank = 0;
+  bool mIsPromised = false;
+  uint64_t mIncarnation = 0;
+  /** The highest epoch that the rank has promised. */
+  Epoch mPromised;
+  Schedule mSchedule;
+
+  auto operator<=>(const PromiseReply&) const = default;
+};
+
+/** Gives a rank the maps of steps. */
+struct GrantRequest
+{
+  Epoch mEpoch;
+  int mRank = 0;
+  uint64_t mIncarnation = 0;
+  Schedule mSchedule;
+
+  auto operator<=>(const GrantRequest&) const = default;
+};
+
+}
--- /dev/null
+++ b/src/steplease/tests/longrun.cpp
@@ -0,0 +1,117 @@
+#include "steplease/grouplead.h"
+#include "steplease/ranklease.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <random>
+
+using namespace beryllever::steplease;
+
+namespace {
+
+constexpr size_t kRanks = 256;
+
+/** A group under loss, doubling, reordering, restarts and leads that replace each other. */
+class Group
+{
+public:
+  explicit Group(unsigned aSeed)
+    : mRandom(aSeed)
+  {
+    for (size_t i = 0; i < kRanks; ++i) {
+      mRanks.emplace_back(static_cast<int>(i), kRanks, 1, Schedule());
+    }
+  }
+
+  void Turn()
+  {
+    const auto action = mRandom() % 100;
+    if (mLeads.empty() || action < 4) {
+      StartLead();
+    } else if (action < 5) {
+      Restart(mRandom() % kRanks);
+    } else {
+      Drive(mLeads[mLeads.size() - 1 - mRandom() % std::min<size_t>(mLeads.size(), 3)]);
+    }
+  }
+
+  bool IsSafe() const
+  {
+    for (const RankLease& rank : mRanks) {
+      if (!rank.Granted().AgreesWith(mRanks.front().Granted())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  Step Reach() const { return mRanks.front().Granted().Horizon(); }
+
+private:
+  void StartLead()
+  {
+    Incarnations incarnations;
+    for (const RankLease& rank : mRanks) {
+      incarnations.push_back(rank.Incarnation());
+    }
+    mLeads.emplace_back(Epoch{ mLeads.size() + 1, "vm", 1 }, incarnations);
+  }
+
+  void Restart(size_t aIndex)
+  {
+    const RankLease& old = mRanks[aIndex];
+    mRanks[aIndex] = RankLease(static_cast<int>(aIndex), kRanks, old.Incarnation() + 1, old.Granted());
+  }
+
+  bool IsLost() { return mRandom() % 10 == 0; }
+
+  void Drive(GroupLead& aLead)
+  {
+    for (const PromiseRequest& request : aLead.PromiseRequests()) {
+      if (!IsLost()) {
+        const PromiseReply reply = mRanks[static_cast<size_t>(request.mRank)].TakePromise(request);
+        if (!IsLost()) {
+          aLead.TakePromise(reply);
+        }
+      }
+    }
+    if (!aLead.IsLeading()) {
+      return;
+    }
+    aLead.Extend(aLead.OwnEpoch().mCounter, aLead.Granted().Horizon() + mRandom() % 8);
+    for (const GrantRequest& grant : aLead.GrantRequests()) {
+      if (!IsLost()) {
+        mLate.push_back(grant);
+      }
+    }
+    std::shuffle(mLate.begin(), mLate.end(), mRandom);
+    const size_t kept = mRandom() % (mLate.size() + 1);
+    for (size_t i = kept; i < mLate.size(); ++i) {
+      mRanks[static_cast<size_t>(mLate[i].mRank)].TakeGrant(mLate[i]);
+    }
+    mLate.resize(std::min<size_t>(kept, 1000));
+  }
+
+  std::mt19937 mRandom;
+  std::vector<RankLease> mRanks;
+  std::vector<GroupLead> mLeads;
+  std::vector<GrantRequest> mLate;
+};
+
+}
+
+TEST_GROUP(LongRun){};
+
+TEST(LongRun, AGroupOf256RanksUsesOneMapInEveryStep)
+{
+  Step reach = 0;
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    Group group(seed);
+    for (int i = 0; i < 600; ++i) {
+      group.Turn();
+      CHECK(group.IsSafe());
+    }
+    reach += group.Reach();
+  }
+  CHECK(reach > 100);
+}
