--- a/src/agent/internal/agentcore.cpp
+++ b/src/agent/internal/agentcore.cpp
@@ -1,5 +1,6 @@
 #include "agent/internal/agentcore.h"
 
+#include "framework/global/identifiers.h"
 #include "framework/log/log.h"
 #include "transport/conversions.h"
 
@@ -16,16 +17,6 @@
 constexpr char kLogTag[] = "agent";
 constexpr size_t kTicketBytes = 16 * 1024 * 1024;
 
-/** Grows with each start of an agent at the same address, as far as the VM's
- * wall clock does. */
-uint64_t
-NewIncarnation()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 }
 
 AgentCore::AgentCore(
@@ -39,7 +30,7 @@
   , mConfiguration(std::move(aConfiguration))
   , mMetrics(aMetrics)
   , mExecutionContext(std::move(aExecutionContext))
-  , mIncarnation(NewIncarnation())
+  , mIncarnation(global::NewIncarnation())
   , mCapacity(aClock, {})
   , mLedger(aClock)
   , mTickets(aClock, mSettings->PeerAddress(), mIncarnation, kTicketBytes)
--- a/src/framework/global/identifiers.h
+++ b/src/framework/global/identifiers.h
@@ -10,6 +10,13 @@
 uint64_t
 RandomIdentifier();
 
+/**
+ * Number of a process's life. It grows with each start at the same address as
+ * far as the VM's wall clock does.
+ */
+uint64_t
+NewIncarnation();
+
 /** Lower-case hexadecimal text of the given number of bytes, drawn at random.
  */
 std::string
--- a/src/framework/global/internal/identifiers.cpp
+++ b/src/framework/global/internal/identifiers.cpp
@@ -1,6 +1,7 @@
 #include "framework/global/identifiers.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace beryllever::global {
 
@@ -25,6 +26,14 @@
   return std::max<uint64_t>(1, Engine()());
 }
 
+uint64_t
+NewIncarnation()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 std::string
 RandomHex(size_t aBytes)
 {
--- a/src/steplease/internal/grouplead.cpp
+++ b/src/steplease/internal/grouplead.cpp
@@ -27,14 +27,17 @@
 GroupLead::TakePromise(const PromiseReply& aReply)
 {
   const auto i = static_cast<size_t>(aReply.mRank);
-  const bool isForThis = aReply.mIsPromised && aReply.mEpoch == mEpoch && i < mReplies.size() &&
+  const bool isForThis = aReply.mIsPromised && aReply.mEpoch == mEpoch &&
+                         i < mReplies.size() &&
                          aReply.mIncarnation == mIncarnations[i];
   if (!isForThis || mReplies[i]) {
     return;
   }
   mReplies[i] = aReply.mSchedule;
   const bool isWhole =
-    std::all_of(mReplies.begin(), mReplies.end(), [](const auto& aSchedule) { return aSchedule.has_value(); });
+    std::all_of(mReplies.begin(), mReplies.end(), [](const auto& aSchedule) {
+      return aSchedule.has_value();
+    });
   if (isWhole) {
     JoinSchedules();
   }
@@ -64,7 +67,8 @@
     return requests;
   }
   for (size_t i = 0; i < mIncarnations.size(); ++i) {
-    requests.push_back({ mEpoch, static_cast<int>(i), mIncarnations[i], *mGranted });
+    requests.push_back(
+      { mEpoch, static_cast<int>(i), mIncarnations[i], *mGranted });
   }
   return requests;
 }
@@ -72,17 +76,22 @@
 void
 GroupLead::JoinSchedules()
 {
-  // Ranks that were left behind by an earlier lead hold a part of what others hold.
+  // Ranks that were left behind by an earlier lead hold a part of what others
+  // hold.
   std::vector<const Schedule*> schedules;
   for (const auto& reply : mReplies) {
     schedules.push_back(&*reply);
   }
-  std::sort(schedules.begin(), schedules.end(), [](const Schedule* aLeft, const Schedule* aRight) {
-    return aLeft->Horizon() > aRight->Horizon();
-  });
+  std::sort(schedules.begin(),
+            schedules.end(),
+            [](const Schedule* aLeft, const Schedule* aRight) {
+              return aLeft->Horizon() > aRight->Horizon();
+            });
   const Schedule& longest = *schedules.front();
-  const bool isAgreed =
-    std::all_of(schedules.begin(), schedules.end(), [&](const Schedule* aOther) { return longest.AgreesWith(*aOther); });
+  const bool isAgreed = std::all_of(
+    schedules.begin(), schedules.end(), [&](const Schedule* aOther) {
+      return longest.AgreesWith(*aOther);
+    });
   if (isAgreed) {
     mGranted = longest;
   }
--- a/src/steplease/internal/ranklease.cpp
+++ b/src/steplease/internal/ranklease.cpp
@@ -2,7 +2,10 @@
 
 namespace beryllever::steplease {
 
-RankLease::RankLease(int aRank, size_t aRanks, uint64_t aIncarnation, Schedule aSchedule)
+RankLease::RankLease(int aRank,
+                     size_t aRanks,
+                     uint64_t aIncarnation,
+                     Schedule aSchedule)
   : mRank(aRank)
   , mIncarnation(aIncarnation)
   , mKnown(aRanks, 0)
@@ -14,13 +17,16 @@
 PromiseReply
 RankLease::TakePromise(const PromiseRequest& aRequest)
 {
-  PromiseReply reply{ aRequest.mEpoch, mRank, false, mIncarnation, mPromised, mSchedule };
+  PromiseReply reply{ aRequest.mEpoch, mRank,     false,
+                      mIncarnation,    mPromised, mSchedule };
   if (aRequest.mIncarnations.size() != mKnown.size()) {
     return reply;
   }
-  const bool isForThis = aRequest.mIncarnations[static_cast<size_t>(mRank)] == mIncarnation;
+  const bool isForThis =
+    aRequest.mIncarnations[static_cast<size_t>(mRank)] == mIncarnation;
   // A request of the promised epoch comes again when the reply was lost.
-  if (!isForThis || aRequest.mEpoch < mPromised || IsOutdated(aRequest.mIncarnations)) {
+  if (!isForThis || aRequest.mEpoch < mPromised ||
+      IsOutdated(aRequest.mIncarnations)) {
     return reply;
   }
   mPromised = aRequest.mEpoch;
@@ -33,7 +39,8 @@
 bool
 RankLease::TakeGrant(const GrantRequest& aRequest)
 {
-  const bool isForThis = aRequest.mIncarnation == mIncarnation && aRequest.mEpoch == mPromised;
+  const bool isForThis =
+    aRequest.mIncarnation == mIncarnation && aRequest.mEpoch == mPromised;
   if (!isForThis || !aRequest.mSchedule.Extends(mSchedule)) {
     return false;
   }
--- a/src/steplease/internal/schedule.cpp
+++ b/src/steplease/internal/schedule.cpp
@@ -54,7 +54,8 @@
 {
   for (const Segment& mine : mSegments) {
     for (const Segment& other : aOther.mSegments) {
-      const bool isOverlap = std::max(mine.mFirst, other.mFirst) < std::min(mine.mEnd, other.mEnd);
+      const bool isOverlap =
+        std::max(mine.mFirst, other.mFirst) < std::min(mine.mEnd, other.mEnd);
       if (isOverlap && mine.mMap != other.mMap) {
         return false;
       }
--- a/src/steplease/ranklease.h
+++ b/src/steplease/ranklease.h
@@ -5,15 +5,18 @@
 namespace beryllever::steplease {
 
 /**
- * What one rank has promised and been granted. The rank runs a step only with a map
- * from here. Orders for another incarnation of its agent are refused, since that one
- * may have promised what this one does not know.
+ * What one rank has promised and been granted. The rank runs a step only with a
+ * map from here. Orders for another incarnation of its agent are refused, since
+ * that one may have promised what this one does not know.
  */
 class RankLease
 {
 public:
   /** Starts with the schedule that the engine holds. */
-  RankLease(int aRank, size_t aRanks, uint64_t aIncarnation, Schedule aSchedule);
+  RankLease(int aRank,
+            size_t aRanks,
+            uint64_t aIncarnation,
+            Schedule aSchedule);
 
   PromiseReply TakePromise(const PromiseRequest& aRequest);
   /** Returns whether the schedule is now in force. */
--- a/src/steplease/schedule.h
+++ b/src/steplease/schedule.h
@@ -19,7 +19,8 @@
   auto operator<=>(const Segment&) const = default;
 };
 
-/** Which expert map each step uses, up to a horizon. Steps long past may be missing. */
+/** Which expert map each step uses, up to a horizon. Steps long past may be
+ * missing. */
 class Schedule
 {
 public:
--- a/src/steplease/tests/exploration.cpp
+++ b/src/steplease/tests/exploration.cpp
@@ -29,7 +29,8 @@
   size_t mLeads;
 };
 
-/** A whole system: ranks, leads, and every message ever sent, which may come at any time and again. */
+/** A whole system: ranks, leads, and every message ever sent, which may come at
+ * any time and again. */
 struct World
 {
   std::vector<RankLease> mRanks;
@@ -51,7 +52,8 @@
   {
     World start;
     for (size_t i = 0; i < aBounds.mRanks; ++i) {
-      start.mRanks.emplace_back(static_cast<int>(i), aBounds.mRanks, 1, Schedule());
+      start.mRanks.emplace_back(
+        static_cast<int>(i), aBounds.mRanks, 1, Schedule());
     }
     start.mLeads.resize(aBounds.mLeads);
     Visit(start);
@@ -130,7 +132,8 @@
       incarnations.push_back(rank.Incarnation());
     }
     next.mLeads[aIndex].emplace(Epoch{ aIndex + 1, "vm", 1 }, incarnations);
-    for (const PromiseRequest& request : next.mLeads[aIndex]->PromiseRequests()) {
+    for (const PromiseRequest& request :
+         next.mLeads[aIndex]->PromiseRequests()) {
       next.mPromises.insert(request);
     }
     Visit(next);
@@ -138,7 +141,8 @@
 
   void Extend(const World& aWorld, size_t aIndex)
   {
-    if (!aWorld.mLeads[aIndex]->IsLeading() || aWorld.mLeads[aIndex]->Granted().Horizon() >= mBounds.mHorizon) {
+    if (!aWorld.mLeads[aIndex]->IsLeading() ||
+        aWorld.mLeads[aIndex]->Granted().Horizon() >= mBounds.mHorizon) {
       return;
     }
     World next = aWorld;
@@ -159,8 +163,10 @@
       World next = aWorld;
       ++next.mRestarts;
       const RankLease& old = aWorld.mRanks[i];
-      next.mRanks[i] =
-        RankLease(static_cast<int>(i), mBounds.mRanks, old.Incarnation() + 1, old.Granted());
+      next.mRanks[i] = RankLease(static_cast<int>(i),
+                                 mBounds.mRanks,
+                                 old.Incarnation() + 1,
+                                 old.Granted());
       Visit(next);
     }
   }
@@ -178,7 +184,8 @@
     for (const PromiseRequest& missing : aLead.PromiseRequests()) {
       PromiseReply forged = reply;
       forged.mRank = missing.mRank;
-      forged.mIncarnation = missing.mIncarnations[static_cast<size_t>(missing.mRank)];
+      forged.mIncarnation =
+        missing.mIncarnations[static_cast<size_t>(missing.mRank)];
       aLead.TakePromise(forged);
     }
   }
@@ -189,8 +196,11 @@
       return;
     }
     // A rank with the same promise that has not kept the vector.
-    RankLease fresh(aIndex, mBounds.mRanks, aRank.Incarnation(), aRank.Granted());
-    PromiseRequest own{ aRank.Promised(), aIndex, Incarnations(mBounds.mRanks, 0) };
+    RankLease fresh(
+      aIndex, mBounds.mRanks, aRank.Incarnation(), aRank.Granted());
+    PromiseRequest own{ aRank.Promised(),
+                        aIndex,
+                        Incarnations(mBounds.mRanks, 0) };
     own.mIncarnations[static_cast<size_t>(aIndex)] = aRank.Incarnation();
     fresh.TakePromise(own);
     aRank = fresh;
@@ -208,7 +218,8 @@
 
 TEST(Exploration, NoStepHasTwoMapsWithTwoRanks)
 {
-  Exploration exploration({ .mRanks = 2, .mHorizon = 3, .mRestarts = 2, .mLeads = 2 }, Plant::None);
+  Exploration exploration(
+    { .mRanks = 2, .mHorizon = 3, .mRestarts = 2, .mLeads = 2 }, Plant::None);
 
   CHECK(exploration.Holds());
   CHECK(exploration.Count() > 1000);
@@ -216,7 +227,8 @@
 
 TEST(Exploration, NoStepHasTwoMapsWithThreeRanks)
 {
-  Exploration exploration({ .mRanks = 3, .mHorizon = 1, .mRestarts = 1, .mLeads = 2 }, Plant::None);
+  Exploration exploration(
+    { .mRanks = 3, .mHorizon = 1, .mRestarts = 1, .mLeads = 2 }, Plant::None);
 
   CHECK(exploration.Holds());
   CHECK(exploration.Count() > 1000);
@@ -224,23 +236,32 @@
 
 TEST(Exploration, NoStepHasTwoMapsWithThreeLeads)
 {
-  Exploration exploration({ .mRanks = 2, .mHorizon = 2, .mRestarts = 1, .mLeads = 3 }, Plant::None);
+  Exploration exploration(
+    { .mRanks = 2, .mHorizon = 2, .mRestarts = 1, .mLeads = 3 }, Plant::None);
 
   CHECK(exploration.Holds());
 }
 
 TEST(Exploration, ALeadThatTakesOnePromiseForAllIsFound)
 {
-  CHECK_FALSE(Exploration({ .mRanks = 2, .mHorizon = 2, .mRestarts = 0, .mLeads = 2 }, Plant::OnePromise).Holds());
+  CHECK_FALSE(
+    Exploration({ .mRanks = 2, .mHorizon = 2, .mRestarts = 0, .mLeads = 2 },
+                Plant::OnePromise)
+      .Holds());
 }
 
 TEST(Exploration, ALeadThatStartsFromTheShortestScheduleIsFound)
 {
   CHECK_FALSE(
-    Exploration({ .mRanks = 2, .mHorizon = 2, .mRestarts = 0, .mLeads = 2 }, Plant::ShortestSchedule).Holds());
+    Exploration({ .mRanks = 2, .mHorizon = 2, .mRestarts = 0, .mLeads = 2 },
+                Plant::ShortestSchedule)
+      .Holds());
 }
 
 TEST(Exploration, RanksThatForgetTheIncarnationsOfOthersAreFound)
 {
-  CHECK_FALSE(Exploration({ .mRanks = 2, .mHorizon = 1, .mRestarts = 1, .mLeads = 2 }, Plant::NoVector).Holds());
+  CHECK_FALSE(
+    Exploration({ .mRanks = 2, .mHorizon = 1, .mRestarts = 1, .mLeads = 2 },
+                Plant::NoVector)
+      .Holds());
 }
--- a/src/steplease/tests/longrun.cpp
+++ b/src/steplease/tests/longrun.cpp
@@ -11,7 +11,8 @@
 
 constexpr size_t kRanks = 256;
 
-/** A group under loss, doubling, reordering, restarts and leads that replace each other. */
+/** A group under loss, doubling, reordering, restarts and leads that replace
+ * each other. */
 class Group
 {
 public:
@@ -31,7 +32,8 @@
     } else if (action < 5) {
       Restart(mRandom() % kRanks);
     } else {
-      Drive(mLeads[mLeads.size() - 1 - mRandom() % std::min<size_t>(mLeads.size(), 3)]);
+      Drive(mLeads[mLeads.size() - 1 -
+                   mRandom() % std::min<size_t>(mLeads.size(), 3)]);
     }
   }
 
@@ -60,7 +62,8 @@
   void Restart(size_t aIndex)
   {
     const RankLease& old = mRanks[aIndex];
-    mRanks[aIndex] = RankLease(static_cast<int>(aIndex), kRanks, old.Incarnation() + 1, old.Granted());
+    mRanks[aIndex] = RankLease(
+      static_cast<int>(aIndex), kRanks, old.Incarnation() + 1, old.Granted());
   }
 
   bool IsLost() { return mRandom() % 10 == 0; }
@@ -69,7 +72,8 @@
   {
     for (const PromiseRequest& request : aLead.PromiseRequests()) {
       if (!IsLost()) {
-        const PromiseReply reply = mRanks[static_cast<size_t>(request.mRank)].TakePromise(request);
+        const PromiseReply reply =
+          mRanks[static_cast<size_t>(request.mRank)].TakePromise(request);
         if (!IsLost()) {
           aLead.TakePromise(reply);
         }
@@ -78,7 +82,8 @@
     if (!aLead.IsLeading()) {
       return;
     }
-    aLead.Extend(aLead.OwnEpoch().mCounter, aLead.Granted().Horizon() + mRandom() % 8);
+    aLead.Extend(aLead.OwnEpoch().mCounter,
+                 aLead.Granted().Horizon() + mRandom() % 8);
     for (const GrantRequest& grant : aLead.GrantRequests()) {
       if (!IsLost()) {
         mLate.push_back(grant);
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -275,7 +275,8 @@
   socket->setReadBufferSize(std::max(1, aReadBytes));
   socket->connectToHost(QHostAddress::LocalHost, static_cast<quint16>(aPort));
   socket->waitForConnected();
-  socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, 65536);
+  socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption,
+                          65536);
   socket->write(aText.toUtf8());
   socket->flush();
   mSockets[number] = std::move(socket);
--- a/tests/scenarios/language.js
+++ b/tests/scenarios/language.js
@@ -172,6 +172,12 @@
       this.ranks.push(new BackEnd(this, "rank-" + i, zone(i), "engine",
         ["--bears", "" + o.bears, "--cold", "" + o.cold, "--token-ms", "" + o.tokenMilliseconds]));
     }
+    if (o.lockStep) {
+      this.ranks.forEach((rank) => {
+        const peers = this.ranks.filter((other) => other !== rank).map((other) => other.port);
+        rank.options = rank.options.concat(["--peers", peers.join(",")]);
+      });
+    }
     for (let i = 0; i < o.services; ++i) {
       this.services.push(new BackEnd(this, "service-" + i, zone(i), "service"));
     }
@@ -182,7 +188,7 @@
     const endpoint = (backEnd) => ({ vm: backEnd.name, availabilityZone: backEnd.zone, address: local(backEnd.agent.peer) });
     const pools = [];
     if (this.ranks.length) {
-      pools.push({ name: "experts", type: "model", model: "moe", bears: this.options.bears, coldBears: this.options.cold,
+      pools.push({ name: "experts", type: "model", model: "moe", expertMap: this.expertMap || 1, bears: this.options.bears, coldBears: this.options.cold,
         endpoints: this.ranks.map((r, i) => Object.assign(endpoint(r), { group: "g0", rank: i })) });
     }
     if (this.services.length) {
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -1,6 +1,7 @@
 #include "standins.h"
 
 #include "framework/global/identifiers.h"
+#include "framework/net/httpcall.h"
 
 namespace beryllever::standins {
 
@@ -9,6 +10,9 @@
 constexpr int kDefaultTokens = 8;
 constexpr std::chrono::milliseconds kReportLag{ 400 };
 constexpr int kServedUntilWarm = 12;
+constexpr std::chrono::milliseconds kStepTime{ 10 };
+/** Time for loading a map from the weight store. */
+constexpr std::chrono::milliseconds kLoadTime{ 200 };
 constexpr size_t kMaxUnreadBytes = 128 * 1024;
 
 std::string
@@ -39,12 +43,70 @@
   bool mIsOver = false;
 };
 
-EngineStandin::EngineStandin(int aBears, int aColdBears, int aTokenMilliseconds)
+EngineStandin::EngineStandin(int aBears,
+                             int aColdBears,
+                             int aTokenMilliseconds,
+                             int aPort,
+                             QList<int> aPeers)
   : mBears(aBears)
   , mColdBears(aColdBears)
   , mTokenMilliseconds(aTokenMilliseconds)
   , mIncarnation(global::RandomHex(4))
+  , mPeers(std::move(aPeers))
+  , mPort(aPort)
 {
+  if (!mPeers.isEmpty()) {
+    QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Arrive(); });
+    mTimer.start(kStepTime);
+  }
+}
+
+uint64_t
+EngineStandin::MapAt(uint64_t aStep) const
+{
+  for (const Json& segment : mSchedule) {
+    if (aStep >= segment["first"] && aStep < segment["end"]) {
+      return segment["map"];
+    }
+  }
+  return 0;
+}
+
+void
+EngineStandin::Arrive()
+{
+  // A rank reaches a step when it knows the step's map; it says so again in
+  // case that it was not heard.
+  if (MapAt(mStep) == 0) {
+    return;
+  }
+  const QByteArray body = QByteArray::fromStdString(
+    Json{ { "port", mPort }, { "step", mStep + 1 } }.dump());
+  for (const int peer : mPeers) {
+    net::Fetch(
+      mManager,
+      { .mMethod = "PUT",
+        .mUrl =
+          QUrl(QStringLiteral("http://127.0.0.1:%1/standin/step").arg(peer)),
+        .mBody = body },
+      std::chrono::seconds(1),
+      [](const net::HttpOutcome&, const net::HttpAnswer&) {});
+  }
+  TryStep();
+}
+
+void
+EngineStandin::TryStep()
+{
+  for (const int peer : mPeers) {
+    if (mReached[peer] <= mStep) {
+      return;
+    }
+  }
+  if (const uint64_t map = MapAt(mStep); map != 0) {
+    mHistory.push_back(map);
+    ++mStep;
+  }
 }
 
 int
@@ -184,22 +246,22 @@
 void
 EngineStandin::Schedule(net::HttpExchange* aExchange)
 {
-  if (aExchange->Request().mMethod == "GET") {
-    ReplyJson(
-      aExchange,
-      200,
-      { { "schedule", mSchedule }, { "step", mStep }, { "fence", mFence } });
-    return;
-  }
+  const bool isOrder = aExchange->Request().mMethod == "PUT";
   const uint64_t fence =
     aExchange->Request().Header("x-fencing-number").toULongLong();
-  if (mChecksFence && fence < mFence) {
+  if (isOrder && mChecksFence && fence < mFence) {
     ReplyJson(aExchange, 409, { { "error", "old fencing number" } });
     return;
   }
-  mFence = std::max(mFence, fence);
-  mSchedule = BodyOf(aExchange)["schedule"];
-  ReplyJson(aExchange, 200, { { "step", mStep } });
+  if (isOrder) {
+    mFence = std::max(mFence, fence);
+    mSchedule = BodyOf(aExchange)["schedule"];
+  }
+  ReplyJson(aExchange,
+            200,
+            { { "schedule", mSchedule },
+              { "step", mStep },
+              { "prepared", mPrepared } });
 }
 
 void
@@ -207,7 +269,18 @@
 {
   const QByteArray path = aExchange->Request().mPath;
   const Json body = BodyOf(aExchange);
-  if (path == "/standin/cold") {
+  if (path == "/v1/expert-map/prepare") {
+    QTimer::singleShot(
+      kLoadTime, &mContext, [this, map = body["map"].get<uint64_t>()] {
+        mPrepared = map;
+      });
+  } else if (path == "/standin/step") {
+    uint64_t& reached = mReached[body["port"]];
+    reached = std::max(reached, body["step"].get<uint64_t>());
+  } else if (path == "/standin/history") {
+    ReplyJson(aExchange, 200, mHistory);
+    return;
+  } else if (path == "/standin/cold") {
     mServed = 0;
     mGraceDeadline = mClock.Now() + kReportLag;
   } else if (path == "/standin/mode") {
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -36,6 +36,7 @@
   int bears = 8;
   int cold = 1;
   int tokenMilliseconds = 5;
+  std::vector<int> peers;
   options.add_option("--port", port)->required();
   options.fallthrough();
   options.add_subcommand("platform");
@@ -45,6 +46,7 @@
   engine->add_option("--bears", bears);
   engine->add_option("--cold", cold);
   engine->add_option("--token-ms", tokenMilliseconds);
+  engine->add_option("--peers", peers)->delimiter(',');
   CLI11_PARSE(options, aCount, aArguments);
 
   QCoreApplication application(aCount, aArguments);
@@ -56,8 +58,12 @@
   } else if (options.got_subcommand("collector")) {
     standin = std::make_unique<standins::CollectorStandin>();
   } else {
-    standin =
-      std::make_unique<standins::EngineStandin>(bears, cold, tokenMilliseconds);
+    standin = std::make_unique<standins::EngineStandin>(
+      bears,
+      cold,
+      tokenMilliseconds,
+      port,
+      QList<int>(peers.begin(), peers.end()));
   }
   const global::SteadyClock clock;
   net::HttpServer server(
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -3,7 +3,9 @@
 #include "framework/net/httpserver.h"
 #include "framework/settings/jsondocument.h"
 
+#include <QList>
 #include <QMap>
+#include <QNetworkAccessManager>
 #include <QSet>
 #include <QTimer>
 #include <functional>
@@ -77,7 +79,11 @@
 class EngineStandin : public IStandin
 {
 public:
-  EngineStandin(int aBears, int aColdBears, int aTokenMilliseconds);
+  EngineStandin(int aBears,
+                int aColdBears,
+                int aTokenMilliseconds,
+                int aPort,
+                QList<int> aPeers);
   void Handle(net::HttpExchange* aExchange) override;
 
 private:
@@ -87,6 +93,9 @@
   void End(const std::shared_ptr<Generation>& aGeneration);
   void Control(net::HttpExchange* aExchange);
   void Schedule(net::HttpExchange* aExchange);
+  uint64_t MapAt(uint64_t aStep) const;
+  void Arrive();
+  void TryStep();
   int Bears() const;
 
   const int mBears;
@@ -110,6 +119,16 @@
   uint64_t mFence = 0;
   bool mChecksFence = true;
   uint64_t mStep = 0;
+  uint64_t mPrepared = 0;
+  /** Ports of the other ranks; all advance in lock-step. */
+  const QList<int> mPeers;
+  /** Step that each peer has reached. */
+  std::map<int, uint64_t> mReached;
+  const int mPort;
+  /** Map of each step that was run. */
+  Json mHistory = Json::array();
+  QNetworkAccessManager mManager;
+  QTimer mTimer;
   QObject mContext;
 };
 
