--- a/src/entry/internal/relaysession.cpp
+++ b/src/entry/internal/relaysession.cpp
@@ -268,8 +268,13 @@
   const bool isPlaced = !mPlacedAt.empty();
   mMayHaveRun = mMayHaveRun || isPlaced;
   EndAttempt(PlacementEnd::Served);
-  EndWithError(
-    { ErrorKind::DeadlineExceeded, "no answer came before the deadline" });
+  if (mMayHaveRun) {
+    EndWithError(
+      { ErrorKind::DeadlineExceeded, "no answer came before the deadline" });
+  } else {
+    EndWithError(
+      { ErrorKind::Overloaded, "no endpoint was free before the deadline" });
+  }
 }
 
 void
--- a/src/expertmap/expertmapmodule.cpp
+++ b/src/expertmap/expertmapmodule.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr int kRank = 40;
-const kernel::ModuleRegistrar kRegistrar(kRank, [] { return std::make_unique<ExpertMapModule>(); });
+const kernel::ModuleRegistrar kRegistrar(kRank, [] {
+  return std::make_unique<ExpertMapModule>();
+});
 
 }
 
@@ -20,13 +22,15 @@
 void
 ExpertMapModule::Start(kernel::Kernel& aKernel)
 {
-  mNode = std::make_unique<ExpertMapNode>(*aKernel.Get<global::IClock>(),
-                                          aKernel.Get<configuration::IProcessSettings>(),
-                                          aKernel.Get<configuration::IConfiguration>(),
-                                          *aKernel.Get<metrics::Metrics>());
+  mNode = std::make_unique<ExpertMapNode>(
+    *aKernel.Get<global::IClock>(),
+    aKernel.Get<configuration::IProcessSettings>(),
+    aKernel.Get<configuration::IConfiguration>(),
+    *aKernel.Get<metrics::Metrics>());
   mService = std::make_shared<StepLeaseService>(&mContext, *mNode);
   aKernel.Get<transport::GrpcServer>()->Add(mService);
-  aKernel.Get<operations::IOperatorPages>()->AddStatus("expertMap", [this] { return mNode->Status(); });
+  aKernel.Get<operations::IOperatorPages>()->AddStatus(
+    "expertMap", [this] { return mNode->Status(); });
   mNode->Start();
 }
 
--- a/src/expertmap/expertmapmodule.h
+++ b/src/expertmap/expertmapmodule.h
@@ -18,7 +18,10 @@
   ~ExpertMapModule() override;
 
   std::string_view Name() const override { return "expertmap"; }
-  bool IsWanted(std::string_view aRole) const override { return aRole == "agent"; }
+  bool IsWanted(std::string_view aRole) const override
+  {
+    return aRole == "agent";
+  }
   void RegisterExports(kernel::Kernel&) override {}
   void Start(kernel::Kernel& aKernel) override;
 
--- a/src/expertmap/internal/enginemaps.cpp
+++ b/src/expertmap/internal/enginemaps.cpp
@@ -17,9 +17,12 @@
     const Json json = Json::parse(aBody.toStdString());
     std::vector<steplease::Segment> segments;
     for (const Json& segment : json.at("schedule")) {
-      segments.push_back({ segment.at("first"), segment.at("end"), segment.at("map") });
+      segments.push_back(
+        { segment.at("first"), segment.at("end"), segment.at("map") });
     }
-    return EngineState{ steplease::Schedule(std::move(segments)), json.at("step"), json.value("prepared", uint64_t(0)) };
+    return EngineState{ steplease::Schedule(std::move(segments)),
+                        json.at("step"),
+                        json.value("prepared", uint64_t(0)) };
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -27,7 +30,8 @@
 
 }
 
-EngineMaps::EngineMaps(QNetworkAccessManager& aManager, const std::string& aBackEnd)
+EngineMaps::EngineMaps(QNetworkAccessManager& aManager,
+                       const std::string& aBackEnd)
   : mManager(aManager)
   , mUrl(QString::fromStdString(aBackEnd))
 {
@@ -40,40 +44,54 @@
 }
 
 void
-EngineMaps::Order(const steplease::Schedule& aSchedule, uint64_t aFencingNumber, OnState aOnState)
+EngineMaps::Order(const steplease::Schedule& aSchedule,
+                  uint64_t aFencingNumber,
+                  OnState aOnState)
 {
   Json segments = Json::array();
   for (const steplease::Segment& segment : aSchedule.Segments()) {
-    segments.push_back({ { "first", segment.mFirst }, { "end", segment.mEnd }, { "map", segment.mMap } });
+    segments.push_back({ { "first", segment.mFirst },
+                         { "end", segment.mEnd },
+                         { "map", segment.mMap } });
   }
-  Send("PUT", QByteArray::fromStdString(Json{ { "schedule", segments } }.dump()), aFencingNumber, std::move(aOnState));
+  Send("PUT",
+       QByteArray::fromStdString(Json{ { "schedule", segments } }.dump()),
+       aFencingNumber,
+       std::move(aOnState));
 }
 
 void
 EngineMaps::Prepare(steplease::MapVersion aMap)
 {
-  net::Fetch(mManager,
-             { .mMethod = "PUT",
-               .mUrl = QUrl(mUrl + "/v1/expert-map/prepare"),
-               .mBody = QByteArray::fromStdString(Json{ { "map", aMap } }.dump()) },
-             kTimeout,
-             [](const net::HttpOutcome&, const net::HttpAnswer&) {});
+  net::Fetch(
+    mManager,
+    { .mMethod = "PUT",
+      .mUrl = QUrl(mUrl + "/v1/expert-map/prepare"),
+      .mBody = QByteArray::fromStdString(Json{ { "map", aMap } }.dump()) },
+    kTimeout,
+    [](const net::HttpOutcome&, const net::HttpAnswer&) {});
 }
 
 void
-EngineMaps::Send(const QByteArray& aMethod, const QByteArray& aBody, uint64_t aFencingNumber, OnState aOnState)
+EngineMaps::Send(const QByteArray& aMethod,
+                 const QByteArray& aBody,
+                 uint64_t aFencingNumber,
+                 OnState aOnState)
 {
-  net::Fetch(
-    mManager,
-    { .mMethod = aMethod,
-      .mUrl = QUrl(mUrl + "/v1/expert-map/schedule"),
-      .mHeaders = { { "X-Fencing-Number", QByteArray::number(static_cast<qulonglong>(aFencingNumber)) } },
-      .mBody = aBody },
-    kTimeout,
-    [onState = std::move(aOnState)](const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer) {
-      const bool isGood = aOutcome.mIsComplete && aOutcome.mStatus == 200;
-      onState(isGood ? ParseState(aAnswer.mBody) : std::nullopt);
-    });
+  net::Fetch(mManager,
+             { .mMethod = aMethod,
+               .mUrl = QUrl(mUrl + "/v1/expert-map/schedule"),
+               .mHeaders = { { "X-Fencing-Number",
+                               QByteArray::number(
+                                 static_cast<qulonglong>(aFencingNumber)) } },
+               .mBody = aBody },
+             kTimeout,
+             [onState = std::move(aOnState)](const net::HttpOutcome& aOutcome,
+                                             const net::HttpAnswer& aAnswer) {
+               const bool isGood =
+                 aOutcome.mIsComplete && aOutcome.mStatus == 200;
+               onState(isGood ? ParseState(aAnswer.mBody) : std::nullopt);
+             });
 }
 
 }
--- a/src/expertmap/internal/enginemaps.h
+++ b/src/expertmap/internal/enginemaps.h
@@ -27,13 +27,19 @@
 
   /** Hands on the state, or nothing if the engine gives no good answer. */
   void Read(OnState aOnState);
-  /** Orders a schedule. Engines that check fencing numbers refuse an order with an old one. */
-  void Order(const steplease::Schedule& aSchedule, uint64_t aFencingNumber, OnState aOnState);
+  /** Orders a schedule. Engines that check fencing numbers refuse an order with
+   * an old one. */
+  void Order(const steplease::Schedule& aSchedule,
+             uint64_t aFencingNumber,
+             OnState aOnState);
   /** Orders a map to be loaded. */
   void Prepare(steplease::MapVersion aMap);
 
 private:
-  void Send(const QByteArray& aMethod, const QByteArray& aBody, uint64_t aFencingNumber, OnState aOnState);
+  void Send(const QByteArray& aMethod,
+            const QByteArray& aBody,
+            uint64_t aFencingNumber,
+            OnState aOnState);
 
   QNetworkAccessManager& mManager;
   const QString mUrl;
--- a/src/expertmap/internal/expertmapnode.cpp
+++ b/src/expertmap/internal/expertmapnode.cpp
@@ -21,10 +21,11 @@
 
 }
 
-ExpertMapNode::ExpertMapNode(const global::IClock& aClock,
-                             std::shared_ptr<configuration::IProcessSettings> aSettings,
-                             std::shared_ptr<configuration::IConfiguration> aConfiguration,
-                             metrics::Metrics& aMetrics)
+ExpertMapNode::ExpertMapNode(
+  const global::IClock& aClock,
+  std::shared_ptr<configuration::IProcessSettings> aSettings,
+  std::shared_ptr<configuration::IConfiguration> aConfiguration,
+  metrics::Metrics& aMetrics)
   : mClock(aClock)
   , mSettings(std::move(aSettings))
   , mConfiguration(std::move(aConfiguration))
@@ -85,13 +86,15 @@
 void
 ExpertMapNode::TakeGrant(const v1::GrantRequest& aRequest, OnGranted aOnGranted)
 {
-  const bool isForThis = mLease && aRequest.group() == mView.mGroup && aRequest.rank() == mRank;
+  const bool isForThis =
+    mLease && aRequest.group() == mView.mGroup && aRequest.rank() == mRank;
   if (!isForThis || !mLease->TakeGrant(FromMessage(aRequest))) {
     aOnGranted(MakeGrantReply(false));
     return;
   }
   PostponeLead(kTakeoverTime);
-  if (const auto map = aRequest.prepare_map(); map > 0 && map != mPrepared && map != mPreparing) {
+  if (const auto map = aRequest.prepare_map();
+      map > 0 && map != mPrepared && map != mPreparing) {
     mPreparing = map;
     mEngine.Prepare(map);
   }
@@ -111,9 +114,13 @@
   int rank = -1;
   const auto tables = mConfiguration->CurrentTables();
   for (const auto& [name, pool] : tables->Pools()) {
-    const auto own = std::find_if(pool->mEndpoints.begin(), pool->mEndpoints.end(), [&](const auto& aEndpoint) {
-      return aEndpoint.mAddress == mSettings->PeerAddress() && !aEndpoint.mGroup.empty();
-    });
+    const auto own =
+      std::find_if(pool->mEndpoints.begin(),
+                   pool->mEndpoints.end(),
+                   [&](const auto& aEndpoint) {
+                     return aEndpoint.mAddress == mSettings->PeerAddress() &&
+                            !aEndpoint.mGroup.empty();
+                   });
     if (own == pool->mEndpoints.end()) {
       continue;
     }
@@ -124,12 +131,14 @@
         members[endpoint.mRank] = endpoint.mAddress;
       }
     }
-    view = { .mGroup = name + "/" + own->mGroup, .mWantedMap = pool->mExpertMap };
+    view = { .mGroup = name + "/" + own->mGroup,
+             .mWantedMap = pool->mExpertMap };
     for (const auto& [number, address] : members) {
       view.mAddresses.push_back(address);
     }
   }
-  const bool isSameGroup = view.mGroup == mView.mGroup && view.mAddresses == mView.mAddresses && rank == mRank;
+  const bool isSameGroup = view.mGroup == mView.mGroup &&
+                           view.mAddresses == mView.mAddresses && rank == mRank;
   mView = std::move(view);
   mRank = rank;
   if (!isSameGroup) {
@@ -149,9 +158,11 @@
   mEngine.Read([this](const std::optional<EngineState>& aState) {
     mIsReading = false;
     TakeEngineState(aState);
-    const bool isMember = mRank >= 0 && static_cast<size_t>(mRank) < mView.mAddresses.size();
+    const bool isMember =
+      mRank >= 0 && static_cast<size_t>(mRank) < mView.mAddresses.size();
     if (aState && !mLease && isMember) {
-      mLease.emplace(mRank, mView.mAddresses.size(), mIncarnation, aState->mSchedule);
+      mLease.emplace(
+        mRank, mView.mAddresses.size(), mIncarnation, aState->mSchedule);
       PostponeLead(kFirstLeadTime);
     }
   });
@@ -186,7 +197,8 @@
   }
   if (!mLeadership && IsLeadDue()) {
     LOGI("Trying to lead the group. group=" << mView.mGroup);
-    mLeadership = std::make_unique<Leadership>(mClock, mView, mSettings->VmName(), mIncarnation);
+    mLeadership = std::make_unique<Leadership>(
+      mClock, mView, mSettings->VmName(), mIncarnation);
   }
   if (mLeadership) {
     mLeadership->Tick();
@@ -205,7 +217,8 @@
   // Jitter parts leads that would stand in each other's way for ever.
   thread_local std::mt19937 sRandom{ std::random_device{}() };
   std::uniform_int_distribution<int64_t> jitter(0, kTakeoverTime.count() / 2);
-  mLeadDeadline = mClock.Now() + aBase + kTakeoverTime * mRank + std::chrono::milliseconds(jitter(sRandom));
+  mLeadDeadline = mClock.Now() + aBase + kTakeoverTime * mRank +
+                  std::chrono::milliseconds(jitter(sRandom));
 }
 
 v1::GrantReply
--- a/src/expertmap/internal/expertmapnode.h
+++ b/src/expertmap/internal/expertmapnode.h
@@ -16,8 +16,9 @@
 namespace beryllever::expertmap {
 
 /**
- * The rank of this agent's engine in its group: takes leads' orders to the engine,
- * and leads the group itself when no one else does. Lives on the control thread.
+ * The rank of this agent's engine in its group: takes leads' orders to the
+ * engine, and leads the group itself when no one else does. Lives on the
+ * control thread.
  */
 class ExpertMapNode : public IStepLeaseCalls
 {
@@ -31,7 +32,8 @@
   settings::Json Status() const;
 
   v1::PromiseReply TakePromise(const v1::PromiseRequest& aRequest) override;
-  void TakeGrant(const v1::GrantRequest& aRequest, OnGranted aOnGranted) override;
+  void TakeGrant(const v1::GrantRequest& aRequest,
+                 OnGranted aOnGranted) override;
 
 private:
   void TakeConfiguration();
--- a/src/expertmap/internal/leadership.cpp
+++ b/src/expertmap/internal/leadership.cpp
@@ -26,14 +26,18 @@
 
 }
 
-Leadership::Leadership(const global::IClock& aClock, GroupView aView, std::string aVm, uint64_t aIncarnation)
+Leadership::Leadership(const global::IClock& aClock,
+                       GroupView aView,
+                       std::string aVm,
+                       uint64_t aIncarnation)
   : mClock(aClock)
   , mView(std::move(aView))
   , mVm(std::move(aVm))
   , mIncarnation(aIncarnation)
 {
   for (const std::string& address : mView.mAddresses) {
-    mRanks.push_back({ .mStub = v1::StepLease::NewStub(transport::MakeChannel(address)) });
+    mRanks.push_back(
+      { .mStub = v1::StepLease::NewStub(transport::MakeChannel(address)) });
   }
 }
 
@@ -107,11 +111,16 @@
     QCoreApplication::instance(),
     aRequest,
     CallDeadline(),
-    [stub = target.mStub](auto* aContext, const auto* aMessage, auto* aReply, auto aOnDone) {
+    [stub = target.mStub](
+      auto* aContext, const auto* aMessage, auto* aReply, auto aOnDone) {
       stub->async()->Promise(aContext, aMessage, aReply, aOnDone);
     },
-    [this, alive, rank, stub = target.mStub, epoch = FromMessage(aRequest.epoch())](const grpc::Status& aStatus,
-                                                                                    const v1::PromiseReply& aReply) {
+    [this,
+     alive,
+     rank,
+     stub = target.mStub,
+     epoch = FromMessage(aRequest.epoch())](const grpc::Status& aStatus,
+                                            const v1::PromiseReply& aReply) {
       if (alive.expired()) {
         return;
       }
@@ -135,10 +144,12 @@
     QCoreApplication::instance(),
     aRequest,
     CallDeadline(),
-    [stub = target.mStub](auto* aContext, const auto* aMessage, auto* aReply, auto aOnDone) {
+    [stub = target.mStub](
+      auto* aContext, const auto* aMessage, auto* aReply, auto aOnDone) {
       stub->async()->Grant(aContext, aMessage, aReply, aOnDone);
     },
-    [this, alive, rank, stub = target.mStub](const grpc::Status& aStatus, const v1::GrantReply& aReply) {
+    [this, alive, rank, stub = target.mStub](const grpc::Status& aStatus,
+                                             const v1::GrantReply& aReply) {
       if (alive.expired()) {
         return;
       }
@@ -150,7 +161,9 @@
 }
 
 void
-Leadership::TakePromiseReply(int aRank, const steplease::Epoch& aEpoch, const v1::PromiseReply& aReply)
+Leadership::TakePromiseReply(int aRank,
+                             const steplease::Epoch& aEpoch,
+                             const v1::PromiseReply& aReply)
 {
   if (aReply.incarnation() == 0) {
     return;
@@ -166,12 +179,14 @@
   mLead->TakePromise(FromMessage(aReply, aEpoch, aRank));
   const bool isRefused = !aReply.is_promised() && aEpoch == mLead->OwnEpoch();
   if (isRefused) {
-    LOGI("A rank refuses the lead. group=" << mView.mGroup << " rank=" << aRank);
+    LOGI("A rank refuses the lead. group=" << mView.mGroup
+                                           << " rank=" << aRank);
     mIsOver = true;
   }
   if (mLead->IsLeading()) {
-    LOGI("Leading the group. group=" << mView.mGroup << " epoch=" << mLead->OwnEpoch().mCounter
-                                     << " horizon=" << mLead->Granted().Horizon());
+    LOGI("Leading the group. group="
+         << mView.mGroup << " epoch=" << mLead->OwnEpoch().mCounter
+         << " horizon=" << mLead->Granted().Horizon());
   }
 }
 
@@ -181,9 +196,11 @@
   Rank& rank = mRanks[static_cast<size_t>(aRank)];
   rank.mStep = std::max(rank.mStep, aReply.current_step());
   rank.mPrepared = aReply.prepared_map();
-  const bool isOther = aReply.incarnation() != rank.mIncarnation || FromMessage(aReply.promised()) > mLead->OwnEpoch();
+  const bool isOther = aReply.incarnation() != rank.mIncarnation ||
+                       FromMessage(aReply.promised()) > mLead->OwnEpoch();
   if (isOther && !mIsOver) {
-    LOGI("The lead ends: a rank has another incarnation or lead. group=" << mView.mGroup << " rank=" << aRank);
+    LOGI("The lead ends: a rank has another incarnation or lead. group="
+         << mView.mGroup << " rank=" << aRank);
     mIsOver = true;
   }
 }
@@ -198,7 +215,8 @@
     }
     incarnations.push_back(rank.mIncarnation);
   }
-  mLead.emplace(steplease::Epoch{ mHighestCounter + 1, mVm, mIncarnation }, incarnations);
+  mLead.emplace(steplease::Epoch{ mHighestCounter + 1, mVm, mIncarnation },
+                incarnations);
 }
 
 steplease::Step
@@ -206,7 +224,9 @@
 {
   return std::min_element(mRanks.begin(),
                           mRanks.end(),
-                          [](const Rank& aLeft, const Rank& aRight) { return aLeft.mStep < aRight.mStep; })
+                          [](const Rank& aLeft, const Rank& aRight) {
+                            return aLeft.mStep < aRight.mStep;
+                          })
     ->mStep;
 }
 
@@ -214,11 +234,14 @@
 Leadership::NextMap() const
 {
   const auto& segments = mLead->Granted().Segments();
-  const steplease::MapVersion current = segments.empty() ? kFirstMap : segments.back().mMap;
+  const steplease::MapVersion current =
+    segments.empty() ? kFirstMap : segments.back().mMap;
   // A map that a rank has not loaded would stall the whole group.
-  const bool isPrepared = mView.mWantedMap > 0 && std::all_of(mRanks.begin(), mRanks.end(), [&](const Rank& aRank) {
-    return aRank.mPrepared == mView.mWantedMap;
-  });
+  const bool isPrepared =
+    mView.mWantedMap > 0 &&
+    std::all_of(mRanks.begin(), mRanks.end(), [&](const Rank& aRank) {
+      return aRank.mPrepared == mView.mWantedMap;
+    });
   return isPrepared ? mView.mWantedMap : current;
 }
 
--- a/src/expertmap/internal/leadership.h
+++ b/src/expertmap/internal/leadership.h
@@ -26,13 +26,16 @@
 };
 
 /**
- * One attempt at leading a group: learns the ranks' incarnations, asks for their
- * promises, and then grants steps until another lead is seen.
+ * One attempt at leading a group: learns the ranks' incarnations, asks for
+ * their promises, and then grants steps until another lead is seen.
  */
 class Leadership
 {
 public:
-  Leadership(const global::IClock& aClock, GroupView aView, std::string aVm, uint64_t aIncarnation);
+  Leadership(const global::IClock& aClock,
+             GroupView aView,
+             std::string aVm,
+             uint64_t aIncarnation);
   ~Leadership();
 
   /** Sends what is due. */
@@ -59,7 +62,9 @@
   void Grant();
   void SendPromise(const v1::PromiseRequest& aRequest);
   void SendGrant(const v1::GrantRequest& aRequest);
-  void TakePromiseReply(int aRank, const steplease::Epoch& aEpoch, const v1::PromiseReply& aReply);
+  void TakePromiseReply(int aRank,
+                        const steplease::Epoch& aEpoch,
+                        const v1::PromiseReply& aReply);
   void TakeGrantReply(int aRank, const v1::GrantReply& aReply);
   void Begin();
   steplease::Step SlowestStep() const;
--- a/src/expertmap/internal/messages.cpp
+++ b/src/expertmap/internal/messages.cpp
@@ -22,7 +22,8 @@
 {
   std::vector<steplease::Segment> segments;
   for (const v1::MapSegment& message : aSegments) {
-    segments.push_back({ message.first_step(), message.end_step(), message.map_version() });
+    segments.push_back(
+      { message.first_step(), message.end_step(), message.map_version() });
   }
   return steplease::Schedule(std::move(segments));
 }
@@ -52,7 +53,8 @@
   request.set_group(aGroup);
   *request.mutable_epoch() = ToMessage(aRequest.mEpoch);
   request.set_rank(aRequest.mRank);
-  request.mutable_incarnations()->Add(aRequest.mIncarnations.begin(), aRequest.mIncarnations.end());
+  request.mutable_incarnations()->Add(aRequest.mIncarnations.begin(),
+                                      aRequest.mIncarnations.end());
   return request;
 }
 
@@ -61,7 +63,8 @@
 {
   return { FromMessage(aRequest.epoch()),
            aRequest.rank(),
-           steplease::Incarnations(aRequest.incarnations().begin(), aRequest.incarnations().end()) };
+           steplease::Incarnations(aRequest.incarnations().begin(),
+                                   aRequest.incarnations().end()) };
 }
 
 v1::PromiseReply
@@ -76,7 +79,9 @@
 }
 
 steplease::PromiseReply
-FromMessage(const v1::PromiseReply& aReply, const steplease::Epoch& aEpoch, int aRank)
+FromMessage(const v1::PromiseReply& aReply,
+            const steplease::Epoch& aEpoch,
+            int aRank)
 {
   return { aEpoch,
            aRank,
@@ -101,7 +106,10 @@
 steplease::GrantRequest
 FromMessage(const v1::GrantRequest& aRequest)
 {
-  return { FromMessage(aRequest.epoch()), aRequest.rank(), aRequest.incarnation(), Read(aRequest.schedule()) };
+  return { FromMessage(aRequest.epoch()),
+           aRequest.rank(),
+           aRequest.incarnation(),
+           Read(aRequest.schedule()) };
 }
 
 }
--- a/src/expertmap/internal/messages.h
+++ b/src/expertmap/internal/messages.h
@@ -19,7 +19,9 @@
 ToMessage(const steplease::PromiseReply& aReply);
 /** The reply of a rank to a request of an epoch. */
 steplease::PromiseReply
-FromMessage(const v1::PromiseReply& aReply, const steplease::Epoch& aEpoch, int aRank);
+FromMessage(const v1::PromiseReply& aReply,
+            const steplease::Epoch& aEpoch,
+            int aRank);
 
 v1::GrantRequest
 ToMessage(const steplease::GrantRequest& aRequest, const std::string& aGroup);
--- a/src/expertmap/internal/stepleaseservice.cpp
+++ b/src/expertmap/internal/stepleaseservice.cpp
@@ -28,10 +28,11 @@
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
   transport::Post(mControl, [this, reactor, aReply, request = *aRequest] {
-    mCalls.TakeGrant(request, [reactor, aReply](const v1::GrantReply& aGranted) {
-      *aReply = aGranted;
-      reactor->Finish(grpc::Status::OK);
-    });
+    mCalls.TakeGrant(request,
+                     [reactor, aReply](const v1::GrantReply& aGranted) {
+                       *aReply = aGranted;
+                       reactor->Finish(grpc::Status::OK);
+                     });
   });
   return reactor;
 }
--- a/src/expertmap/internal/stepleaseservice.h
+++ b/src/expertmap/internal/stepleaseservice.h
@@ -17,7 +17,8 @@
 
   virtual v1::PromiseReply TakePromise(const v1::PromiseRequest& aRequest) = 0;
   /** Answers once the engine has taken the order. */
-  virtual void TakeGrant(const v1::GrantRequest& aRequest, OnGranted aOnGranted) = 0;
+  virtual void TakeGrant(const v1::GrantRequest& aRequest,
+                         OnGranted aOnGranted) = 0;
 };
 
 /** Takes the orders of leads and hands them to the control thread. */
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -226,8 +226,11 @@
   request.setTransferTimeout(aRequest.value("timeout", 30000).toInt());
   const QByteArray method = aRequest.value("method", "GET").toString().toUtf8();
   const int number = ++mNext;
-  QNetworkReply* reply = mManager.sendCustomRequest(
+  // One manager opens at most six connections to a host.
+  auto* manager = new QNetworkAccessManager;
+  QNetworkReply* reply = manager->sendCustomRequest(
     request, method, aRequest["body"].toString().toUtf8());
+  connect(reply, &QObject::destroyed, manager, &QObject::deleteLater);
   mRequests[number] = { reply, {} };
   connect(reply, &QNetworkReply::readyRead, this, [this, number, reply] {
     mRequests[number].mBody += reply->readAll();
--- a/tests/host/bench.h
+++ b/tests/host/bench.h
@@ -76,7 +76,6 @@
   const QString mPrograms;
   const QString mScripts;
   QTemporaryDir mFolder;
-  QNetworkAccessManager mManager;
   std::map<QString, std::unique_ptr<QProcess>> mProcesses;
   std::map<int, Request> mRequests;
   std::map<int, std::unique_ptr<class QTcpSocket>> mSockets;
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -155,6 +155,7 @@
     return;
   }
   ++mArrivals;
+  mRequests.push_back(Describe(aExchange));
   if (mRunning >= Bears() && mClock.Now() >= mGraceDeadline) {
     ++mOverloads;
   }
@@ -277,6 +278,9 @@
   } else if (path == "/standin/step") {
     uint64_t& reached = mReached[body["port"]];
     reached = std::max(reached, body["step"].get<uint64_t>());
+  } else if (path == "/standin/requests") {
+    ReplyJson(aExchange, 200, mRequests);
+    return;
   } else if (path == "/standin/history") {
     ReplyJson(aExchange, 200, mHistory);
     return;
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -25,6 +25,24 @@
   return Json::parse(aExchange->Request().mBody.toStdString(), nullptr, false);
 }
 
+std::string
+Describe(const net::HttpExchange* aExchange)
+{
+  const net::HttpRequest& request = aExchange->Request();
+  std::string text =
+    request.mMethod.toStdString() + " " + request.mPath.toStdString() + "\n";
+  for (const char* name : { "x-workspace",
+                            "x-priority",
+                            "x-request-id",
+                            "last-event-id",
+                            "traceparent" }) {
+    if (const QByteArray value = request.Header(name); !value.isEmpty()) {
+      text += std::string(name) + ": " + value.toStdString() + "\n";
+    }
+  }
+  return text + request.mBody.toStdString();
+}
+
 }
 
 int
--- a/tests/standins/servicestandin.cpp
+++ b/tests/standins/servicestandin.cpp
@@ -18,6 +18,8 @@
   } else if (path == "/health") {
     ReplyJson(
       aExchange, 200, { { "incarnation", mIncarnation }, { "ready", true } });
+  } else if (path == "/standin/requests") {
+    ReplyJson(aExchange, 200, mRequests);
   } else if (path == "/standin/mode") {
     const Json body = BodyOf(aExchange);
     mDelayMilliseconds = body.value("delayMilliseconds", mDelayMilliseconds);
@@ -33,6 +35,7 @@
 {
   const Json body = BodyOf(aExchange);
   const std::string id = body.is_object() ? body.value("id", "none") : "none";
+  mRequests.push_back(Describe(aExchange));
   const int count = ++mExecutions[id];
   const bool losesAnswer = mLosesAnswers;
   QTimer::singleShot(
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -33,6 +33,9 @@
           const net::Headers& aHeaders = {});
 Json
 BodyOf(const net::HttpExchange* aExchange);
+/** A request as text, for golden files. */
+std::string
+Describe(const net::HttpExchange* aExchange);
 
 /** The platform: Consul's KV and catalog with blocking queries. */
 class PlatformStandin : public IStandin
@@ -115,6 +118,7 @@
   int mResumed = 0;
   bool mIsNonsense = false;
   std::map<std::string, std::weak_ptr<Generation>> mByRequest;
+  Json mRequests = Json::array();
   Json mSchedule = Json::array();
   uint64_t mFence = 0;
   bool mChecksFence = true;
@@ -144,6 +148,7 @@
 
   std::string mIncarnation;
   std::map<std::string, int> mExecutions;
+  Json mRequests = Json::array();
   int mDelayMilliseconds = 0;
   bool mLosesAnswers = false;
   QObject mContext;
