--- a/src/entry/internal/router.cpp
+++ b/src/entry/internal/router.cpp
@@ -76,7 +76,7 @@
 {
   transport::Post(&mContext, [this, aAddress] {
     mWallet.Use(aAddress);
-    UpdateDemand();
+    UpdateDemandOf(aAddress);
   });
 }
 
@@ -143,12 +143,13 @@
   transport::Post(aPending.mContext,
                   [onDecision = aPending.mOnDecision,
                    decision = std::move(decision)] { onDecision(decision); });
-  UpdateDemand();
+  UpdateDemandOf(aAddress);
 }
 
 void
 Router::Enqueue(Pending aPending)
 {
+  const std::string poolName = aPending.mRequest.mPool;
   auto [it, isNew] = mQueues.try_emplace(
     aPending.mRequest.mPool,
     static_cast<size_t>(mSettings->Limits().mQueuedRequests));
@@ -170,7 +171,7 @@
                    { { "priority", std::to_string(shed->mPriority) } });
     Refuse(node.mapped(), ErrorKind::Overloaded, "too many requests wait");
   }
-  UpdateDemand();
+  UpdateDemand(poolName);
 }
 
 void
@@ -192,6 +193,7 @@
   } else if (aEnd == PlacementEnd::Failed) {
     mWallet.Avoid(aAddress, kAvoidAfterFailure);
   }
+  UpdateDemandOf(aAddress);
   Pump();
 }
 
@@ -201,12 +203,12 @@
   for (auto& [pool, queue] : mQueues) {
     PumpPool(pool, queue);
   }
-  UpdateDemand();
 }
 
 void
 Router::PumpPool(const std::string& aPool, PoolQueue& aQueue)
 {
+  const size_t before = aQueue.mQueue.Size();
   DropExpired(aQueue);
   while (const routing::Waiter* front = aQueue.mQueue.Front()) {
     const auto it = aQueue.mPending.find(front->mId);
@@ -216,6 +218,9 @@
     aQueue.mPending.erase(it);
     aQueue.mQueue.Pop();
   }
+  if (aQueue.mQueue.Size() != before) {
+    UpdateDemand(aPool);
+  }
   mMetrics.Set("beryllever_waiting_requests",
                static_cast<double>(aQueue.mQueue.Size()),
                { { "pool", aPool } });
@@ -233,29 +238,44 @@
 }
 
 void
-Router::UpdateDemand()
+Router::UpdateDemand(const std::string& aPool)
 {
-  const auto tables = mConfiguration->CurrentTables();
-  for (const auto& [name, pool] : tables->Pools()) {
-    const auto queue = mQueues.find(name);
-    const auto waiting = queue == mQueues.end()
-                           ? 0
-                           : static_cast<int>(queue->second.mQueue.Size());
-    const int endpoints =
-      std::max<int>(1, static_cast<int>(pool->mEndpoints.size()));
-    const int waitingEach = (waiting + endpoints - 1) / endpoints;
-    for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
-      const auto link = mLinks.find(endpoint.mAddress);
-      if (link == mLinks.end()) {
-        continue;
-      }
-      const auto state = mWallet.States().find(endpoint.mAddress);
-      const int inUse =
-        state == mWallet.States().end() ? 0 : state->second.mInUse;
-      const int spare = inUse > 0 ? 1 : 0;
-      link->second->SetDemand({ inUse, inUse + waitingEach + spare });
-    }
+  const auto pool = mConfiguration->CurrentTables()->FindPool(aPool);
+  if (!pool) {
+    return;
+  }
+  for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
+    UpdateDemandOf(endpoint.mAddress, *pool);
+  }
+}
+
+void
+Router::UpdateDemandOf(const std::string& aAddress)
+{
+  const auto name = mPoolOf.find(aAddress);
+  if (name == mPoolOf.end()) {
+    return;
+  }
+  if (const auto pool = mConfiguration->CurrentTables()->FindPool(name->second)) {
+    UpdateDemandOf(aAddress, *pool);
+  }
+}
+
+void
+Router::UpdateDemandOf(const std::string& aAddress, const configuration::Pool& aPool)
+{
+  const auto link = mLinks.find(aAddress);
+  if (link == mLinks.end()) {
+    return;
   }
+  const auto queue = mQueues.find(aPool.mName);
+  const int waiting = queue == mQueues.end() ? 0 : static_cast<int>(queue->second.mQueue.Size());
+  const int endpoints = std::max<int>(1, static_cast<int>(aPool.mEndpoints.size()));
+  const int waitingEach = (waiting + endpoints - 1) / endpoints;
+  const auto state = mWallet.States().find(aAddress);
+  const int inUse = state == mWallet.States().end() ? 0 : state->second.mInUse;
+  const int spare = inUse > 0 ? 1 : 0;
+  link->second->SetDemand({ inUse, inUse + waitingEach + spare });
 }
 
 void
@@ -271,13 +291,14 @@
 }
 
 std::set<std::string>
-Router::WantedLinks() const
+Router::WantedLinks()
 {
   std::set<std::string> wanted;
   const auto tables = mConfiguration->CurrentTables();
   for (const auto& [name, pool] : tables->Pools()) {
     std::vector<spread::Candidate> candidates;
     for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
+      mPoolOf[endpoint.mAddress] = name;
       candidates.push_back(
         { endpoint.mVm, endpoint.mAvailabilityZone, endpoint.mAddress });
     }
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -109,11 +109,14 @@
   void Pump();
   void PumpPool(const std::string& aPool, PoolQueue& aQueue);
   void DropExpired(PoolQueue& aQueue);
-  void UpdateDemand();
+  /** States the demand to the endpoints of a pool, or to one endpoint. */
+  void UpdateDemand(const std::string& aPool);
+  void UpdateDemandOf(const std::string& aAddress);
+  void UpdateDemandOf(const std::string& aAddress, const configuration::Pool& aPool);
   void UpdateLinks();
   void Tick();
   AgentLink& LinkFor(const std::string& aAddress);
-  std::set<std::string> WantedLinks() const;
+  std::set<std::string> WantedLinks();
 
   const global::IClock& mClock;
   std::shared_ptr<configuration::IProcessSettings> mSettings;
@@ -124,6 +127,7 @@
   /** Addresses that the tables have named; no other address is ever connected
    * to. */
   std::set<std::string> mKnownAddresses;
+  std::map<std::string, std::string> mPoolOf;
   std::map<std::string, PoolQueue> mQueues;
   routing::RetryBudget mRetryBudget;
   uint64_t mNextId = 0;
