--- a/tests/scenarios/leaving.js
+++ b/tests/scenarios/leaving.js
@@ -4,7 +4,7 @@
 const fleet = new Fleet({ entries: 2, ranks: 4, services: 2, tokenMilliseconds: 10 }).start();
 const leaving = fleet.ranks[0];
 const long = [];
-for (let i = 0; i < 8; ++i) { long.push(openChat(fleet.entries[i % 2], { text: "long " + i, max_tokens: 200 })); }
+for (let i = 0; i < 8; ++i) { long.push(openChat(fleet.entries[i % 2], { text: "long " + i, max_tokens: 900 })); }
 bench.turn(200);
 
 fleet.platform.register(Object.assign({ state: "leaving" }, { name: leaving.agent.name, role: "agent", zone: leaving.zone,
@@ -27,7 +27,7 @@
 check("the stopping entry takes no new work", refused.status === 307 || refused.status === 0 || refused.status === 503);
 long.forEach((number) => {
   until("a long answer", () => bench.look(number).done, 20000);
-  same("long text", expectedText(200), streamed(bench.look(number).body).text);
+  same("long text", expectedText(900), streamed(bench.look(number).body).text);
 });
 same("exit code of the agent", 0, bench.exitCode(leaving.agent.name));
 same("exit code of the entry", 0, bench.exitCode(fleet.entries[1].name));
