--- a/benchmarks/loadclient.cpp
+++ b/benchmarks/loadclient.cpp
@@ -1,4 +1,5 @@
-// Sends chats one after another and reports the time to the first token and between tokens.
+// Sends chats one after another and reports the time to the first token and
+// between tokens.
 #include "framework/net/httpcall.h"
 #include "report.h"
 
@@ -15,7 +16,8 @@
 double
 MillisecondsSince(Clock::time_point aStart)
 {
-  return std::chrono::duration<double, std::milli>(Clock::now() - aStart).count();
+  return std::chrono::duration<double, std::milli>(Clock::now() - aStart)
+    .count();
 }
 
 /** Times of one chat, in milliseconds. */
@@ -26,20 +28,29 @@
 };
 
 Times
-SendChat(QNetworkAccessManager& aManager, const QUrl& aUrl, int aTokens, int aNumber)
+SendChat(QNetworkAccessManager& aManager,
+         const QUrl& aUrl,
+         int aTokens,
+         int aNumber)
 {
-  const nlohmann::json message{ { "role", "user" }, { "content", "message " + std::to_string(aNumber) } };
-  const nlohmann::json body{ { "messages", { message } }, { "stream", true }, { "max_tokens", aTokens } };
+  const nlohmann::json message{
+    { "role", "user" }, { "content", "message " + std::to_string(aNumber) }
+  };
+  const nlohmann::json body{ { "messages", { message } },
+                             { "stream", true },
+                             { "max_tokens", aTokens } };
   Times times;
   QEventLoop loop;
   const auto start = Clock::now();
   auto last = start;
-  net::HttpCall call(aManager,
-                     { .mMethod = "POST",
-                       .mUrl = aUrl,
-                       .mHeaders = { { "X-Workspace", "gas" }, { "X-Request-Id", QByteArray::number(aNumber) } },
-                       .mBody = QByteArray::fromStdString(body.dump()) },
-                     std::chrono::seconds(30));
+  net::HttpCall call(
+    aManager,
+    { .mMethod = "POST",
+      .mUrl = aUrl,
+      .mHeaders = { { "X-Workspace", "gas" },
+                    { "X-Request-Id", QByteArray::number(aNumber) } },
+      .mBody = QByteArray::fromStdString(body.dump()) },
+    std::chrono::seconds(30));
   call.SetOnReadable([&] {
     call.Read(call.Readable());
     if (last == start) {
@@ -74,10 +85,12 @@
       gaps.insert(gaps.end(), times.mGaps.begin(), times.mGaps.end());
     }
   }
-  const nlohmann::json figures{ { "firstTokenP50", benchmarks::Rounded(benchmarks::Quantile(first, 0.5)) },
-                                { "firstTokenP95", benchmarks::Rounded(benchmarks::Quantile(first, 0.95)) },
-                                { "gapP50", benchmarks::Rounded(benchmarks::Quantile(gaps, 0.5)) },
-                                { "gapP95", benchmarks::Rounded(benchmarks::Quantile(gaps, 0.95)) } };
+  const nlohmann::json figures{
+    { "firstTokenP50", benchmarks::Rounded(benchmarks::Quantile(first, 0.5)) },
+    { "firstTokenP95", benchmarks::Rounded(benchmarks::Quantile(first, 0.95)) },
+    { "gapP50", benchmarks::Rounded(benchmarks::Quantile(gaps, 0.5)) },
+    { "gapP95", benchmarks::Rounded(benchmarks::Quantile(gaps, 0.95)) }
+  };
   std::cout << figures.dump() << std::endl;
   return 0;
 }
--- a/src/credits/endpointcapacity.h
+++ b/src/credits/endpointcapacity.h
@@ -15,8 +15,9 @@
 
 /**
  * Works out how many requests a back end bears now. It starts at the cold
- * bound, grows by one in every two rounds of completions, and falls
- * back to the cold bound when the back end shows that it has lost its warmth.
+ * bound, grows by one in every three rounds of completions but no faster than
+ * five times a second, and falls back to the cold bound when the back end shows
+ * that it has lost its warmth.
  */
 class EndpointCapacity
 {
@@ -49,6 +50,7 @@
   const global::IClock& mClock;
   CapacityBounds mBounds;
   Slots mBears;
+  global::TimePoint mNextStep;
   bool mIsReady = false;
   bool mHasBroken = false;
   int mCompletions = 0;
--- a/src/credits/internal/endpointcapacity.cpp
+++ b/src/credits/internal/endpointcapacity.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr int kRoundsPerStep = 2;
+constexpr int kRoundsPerStep = 3;
+/** Shortest time between two steps upwards, however fast the answers come. */
+constexpr std::chrono::milliseconds kStepInterval{ 200 };
 constexpr int kSlowFactor = 3;
 constexpr int kSlowCompletionsForCut = 3;
 constexpr int kSmoothing = 16;
@@ -22,6 +24,7 @@
   : mClock(aClock)
   , mBounds(aBounds)
   , mBears(aBounds.mCold)
+  , mNextStep(aClock.Now() + kStepInterval)
 {
 }
 
@@ -70,8 +73,9 @@
   mUsualFirstByte =
     hasUsual ? mUsualFirstByte + (aFirstByte - mUsualFirstByte) / kSmoothing
              : aFirstByte;
-  if (++mCompletions >= mBears * kRoundsPerStep) {
+  if (++mCompletions >= mBears * kRoundsPerStep && mClock.Now() >= mNextStep) {
     mCompletions = 0;
+    mNextStep = mClock.Now() + kStepInterval;
     mBears = std::min(mBears + 1, mBounds.mWarm);
   }
 }
@@ -93,6 +97,7 @@
 EndpointCapacity::TurnCold()
 {
   mBears = std::min(mBounds.mCold, mBounds.mWarm);
+  mNextStep = mClock.Now() + kStepInterval;
   mCompletions = 0;
   mSlowCompletions = 0;
   mUsualFirstByte = std::chrono::microseconds(0);
--- a/src/entry/internal/router.cpp
+++ b/src/entry/internal/router.cpp
@@ -256,21 +256,25 @@
   if (name == mPoolOf.end()) {
     return;
   }
-  if (const auto pool = mConfiguration->CurrentTables()->FindPool(name->second)) {
+  if (const auto pool =
+        mConfiguration->CurrentTables()->FindPool(name->second)) {
     UpdateDemandOf(aAddress, *pool);
   }
 }
 
 void
-Router::UpdateDemandOf(const std::string& aAddress, const configuration::Pool& aPool)
+Router::UpdateDemandOf(const std::string& aAddress,
+                       const configuration::Pool& aPool)
 {
   const auto link = mLinks.find(aAddress);
   if (link == mLinks.end()) {
     return;
   }
   const auto queue = mQueues.find(aPool.mName);
-  const int waiting = queue == mQueues.end() ? 0 : static_cast<int>(queue->second.mQueue.Size());
-  const int endpoints = std::max<int>(1, static_cast<int>(aPool.mEndpoints.size()));
+  const int waiting =
+    queue == mQueues.end() ? 0 : static_cast<int>(queue->second.mQueue.Size());
+  const int endpoints =
+    std::max<int>(1, static_cast<int>(aPool.mEndpoints.size()));
   const int waitingEach = (waiting + endpoints - 1) / endpoints;
   const auto state = mWallet.States().find(aAddress);
   const int inUse = state == mWallet.States().end() ? 0 : state->second.mInUse;
--- a/src/entry/internal/router.h
+++ b/src/entry/internal/router.h
@@ -112,7 +112,8 @@
   /** States the demand to the endpoints of a pool, or to one endpoint. */
   void UpdateDemand(const std::string& aPool);
   void UpdateDemandOf(const std::string& aAddress);
-  void UpdateDemandOf(const std::string& aAddress, const configuration::Pool& aPool);
+  void UpdateDemandOf(const std::string& aAddress,
+                      const configuration::Pool& aPool);
   void UpdateLinks();
   void Tick();
   AgentLink& LinkFor(const std::string& aAddress);
--- a/tests/scenarios/configuration.js
+++ b/tests/scenarios/configuration.js
@@ -33,7 +33,12 @@
 [fleet.entries[0], fleet.entries[1], fleet.ranks[0].agent].forEach((daemon) => {
   const before = daemon.log().length;
   daemon.signal("KILL");
+  // Its peers are paused for a moment, so that the stale platform answers first.
+  const peers = fleet.entries.filter((entry) => entry !== daemon);
+  peers.forEach((entry) => entry.signal("STOP"));
   daemon.start();
+  bench.turn(600);
+  peers.forEach((entry) => entry.signal("CONT"));
   until(daemon.name + " has a revision", () => daemon.revision() > 0);
   always(daemon.name + " never reverts", 2500, () => daemon.revision() >= second);
   const taken = daemon.log().slice(before).match(/Tables are in force. revision=\d+/g).map((line) => Number(line.split("=")[1]));
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -114,6 +114,7 @@
    * lag. */
   global::TimePoint mGraceDeadline{};
   global::SteadyClock mClock;
+  global::TimePoint mColdSince = mClock.Now();
   int mCancelled = 0;
   int mResumed = 0;
   bool mIsNonsense = false;
