--- a/tests/host/bench.h
+++ b/tests/host/bench.h
@@ -37,6 +37,8 @@
   Q_INVOKABLE int exitCode(const QString& aName);
   /** Resident memory of a process in bytes. */
   Q_INVOKABLE double memory(const QString& aName);
+  /** Processor time that a process has used, in seconds. */
+  Q_INVOKABLE double processorTime(const QString& aName);
   Q_INVOKABLE QString output(const QString& aName);
   /** Runs a program to its end; returns code, out and err. */
   Q_INVOKABLE QVariantMap run(const QString& aProgram,
--- a/tests/scenarios/configuration.js
+++ b/tests/scenarios/configuration.js
@@ -26,6 +26,7 @@
 check("watchers: " + watchers.length, watchers.length >= 3 && watchers.length <= 6);
 
 // A restart into a stale platform takes the higher revision of its peers at once.
+fleet.waitForRevision(fleet.publish());
 fleet.platform.mode({ remember: true });
 const second = fleet.publish();
 fleet.waitForRevision(second);
--- a/tests/scenarios/once.js
+++ b/tests/scenarios/once.js
@@ -4,7 +4,7 @@
 const fleet = new Fleet({ entries: 3, ranks: 0, services: 3 }).start();
 
 // A fixed sequence of pseudo-random numbers (a linear congruential generator).
-let sSeed = Number(scriptArguments[1] || 7);
+let sSeed = Number(scriptArguments[0] || 7);
 function random(n) {
   sSeed = (sSeed * 1103515245 + 12345) % 2147483648;
   return Math.floor(sSeed / 65536) % n;
