Keep epochs above the engines' fencing numbers; grant three times a second

Cause: agents at rest took 1.4% of a core (control-processes), most of it for orders to the engine ten times a second. With fewer grants the scenario expertmap stalled: after all four agents had restarted, no rank remembered a promise, the new lead took counter 1, and the engines refused its orders as older than fencing number 3. The fault was there before; a lead usually survived the restarts. Change: a rank names its engine's fencing number when it is asked, and counters start at the wall clock; grants go out every 300 ms.

--- a/src/expertmap/internal/enginemaps.cpp
+++ b/src/expertmap/internal/enginemaps.cpp
@@ -22,7 +22,8 @@
     }
     return EngineState{ steplease::Schedule(std::move(segments)),
                         json.at("step"),
-                        json.value("prepared", uint64_t(0)) };
+                        json.value("prepared", uint64_t(0)),
+                        json.value("fence", uint64_t(0)) };
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/src/expertmap/internal/enginemaps.h
+++ b/src/expertmap/internal/enginemaps.h
@@ -15,6 +15,8 @@
   steplease::Schedule mSchedule;
   steplease::Step mStep = 0;
   steplease::MapVersion mPrepared = 0;
+  /** Highest fencing number that the engine has seen; 0 if it does not tell. */
+  uint64_t mFence = 0;
 };
 
 /** Reads and orders the expert maps of the local engine rank. */
--- a/src/expertmap/internal/expertmapnode.cpp
+++ b/src/expertmap/internal/expertmapnode.cpp
@@ -73,6 +73,10 @@
   if (isQuestion) {
     reply.set_incarnation(mIncarnation);
     *reply.mutable_promised() = ToMessage(mLease->Promised());
+    // The engine refuses orders below the number that it took from an earlier
+    // agent.
+    reply.mutable_promised()->set_counter(
+      std::max(mLease->Promised().mCounter, mFence));
   } else {
     reply = ToMessage(mLease->TakePromise(FromMessage(aRequest)));
   }
@@ -176,6 +180,7 @@
   }
   mStep = aState->mStep;
   mPrepared = aState->mPrepared;
+  mFence = std::max(mFence, aState->mFence);
   mMetrics.Set("beryllever_group_step", static_cast<double>(mStep));
 }
 
--- a/src/expertmap/internal/expertmapnode.h
+++ b/src/expertmap/internal/expertmapnode.h
@@ -58,6 +58,7 @@
   steplease::Step mStep = 0;
   steplease::MapVersion mPrepared = 0;
   steplease::MapVersion mPreparing = 0;
+  uint64_t mFence = 0;
   bool mIsReading = false;
   global::TimePoint mReadDeadline;
   global::TimePoint mLeadDeadline;
--- a/src/expertmap/internal/leadership.cpp
+++ b/src/expertmap/internal/leadership.cpp
@@ -1,6 +1,7 @@
 #include "expertmap/internal/leadership.h"
 
 #include "expertmap/internal/messages.h"
+#include "framework/global/identifiers.h"
 #include "framework/log/log.h"
 #include "transport/channel.h"
 #include "transport/unary.h"
@@ -14,6 +15,7 @@
 
 constexpr char kLogTag[] = "expertmap";
 constexpr std::chrono::milliseconds kCallTime{ 1000 };
+constexpr std::chrono::milliseconds kGrantInterval{ 300 };
 /** Steps that are granted ahead of the slowest rank. */
 constexpr steplease::Step kLeaseSteps = 100;
 constexpr steplease::MapVersion kFirstMap = 1;
@@ -88,6 +90,10 @@
 void
 Leadership::Grant()
 {
+  if (mClock.Now() < mGrantDeadline) {
+    return;
+  }
+  mGrantDeadline = mClock.Now() + kGrantInterval;
   const steplease::Step slowest = SlowestStep();
   mLead->TrimBefore(slowest);
   mLead->Extend(NextMap(), slowest + kLeaseSteps);
@@ -215,8 +221,12 @@
     }
     incarnations.push_back(rank.mIncarnation);
   }
-  mLead.emplace(steplease::Epoch{ mHighestCounter + 1, mVm, mIncarnation },
-                incarnations);
+  // Counters grow even if all agents have forgotten theirs.
+  mLead.emplace(
+    steplease::Epoch{ std::max(mHighestCounter + 1, global::NewIncarnation()),
+                      mVm,
+                      mIncarnation },
+    incarnations);
 }
 
 steplease::Step
--- a/src/expertmap/internal/leadership.h
+++ b/src/expertmap/internal/leadership.h
@@ -78,7 +78,8 @@
   std::optional<steplease::GroupLead> mLead;
   uint64_t mHighestCounter = 0;
   bool mIsOver = false;
-  QObject mContext;
+  /** No grant is sent before this time. */
+  global::TimePoint mGrantDeadline{};
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
