--- a/src/entry/internal/router.cpp
+++ b/src/entry/internal/router.cpp
@@ -20,8 +20,9 @@
 constexpr std::chrono::milliseconds kMaxQueueTime{ 10000 };
 constexpr std::chrono::milliseconds kAvoidAfterRefusal{ 50 };
 constexpr std::chrono::milliseconds kAvoidAfterFailure{ 500 };
-/** Endpoints of one pool that one entry works with. */
-constexpr size_t kMaxLinksPerPool = 64;
+/** Endpoints that one entry works with, shared evenly by the pools. */
+constexpr size_t kMaxLinks = 64;
+constexpr size_t kMinLinksPerPool = 6;
 constexpr std::chrono::milliseconds kMinRenewInterval{ 1000 };
 
 }
@@ -299,6 +300,8 @@
 {
   std::set<std::string> wanted;
   const auto tables = mConfiguration->CurrentTables();
+  const size_t perPool = std::max(
+    kMinLinksPerPool, kMaxLinks / std::max<size_t>(1, tables->Pools().size()));
   for (const auto& [name, pool] : tables->Pools()) {
     std::vector<spread::Candidate> candidates;
     for (const configuration::Endpoint& endpoint : pool->mEndpoints) {
@@ -306,8 +309,8 @@
       candidates.push_back(
         { endpoint.mVm, endpoint.mAvailabilityZone, endpoint.mAddress });
     }
-    for (const auto& chosen : spread::SelectSources(
-           mSettings->VmName(), candidates, kMaxLinksPerPool)) {
+    for (const auto& chosen :
+         spread::SelectSources(mSettings->VmName(), candidates, perPool)) {
       wanted.insert(chosen.mAddress);
     }
   }
