Do not take a cut answer in chunks for whole

Cause: Qt reports no error when the connection of an answer in chunks is closed early (seen with a server of ten lines), so an engine that died between two chunks could make a cut answer look whole. Scenario wholeanswer did not kill engines. Its check for cancelled streams passed on counts of earlier parts. Change: an event stream is whole only after its event [DONE], otherwise it is resumed; a document without a stated length only if it parses; only errors that report an HTTP status count as complete answers. The stand-in counts a stream that ends with its connection as cancelled. Conclusion: the whole answer holds over a killed engine as well.

--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -3,6 +3,7 @@
 #include "framework/log/log.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace beryllever::agent {
 
@@ -150,6 +151,10 @@
 {
   mHasHead = true;
   mResult.mHttpStatus = mCall->Status();
+  // Qt takes an answer in chunks for whole when its connection is closed early.
+  mIsUnbounded = !IsStreamed() && net::HttpAnswer{ mCall->AllHeaders(), {} }
+                                    .Header("Content-Length")
+                                    .isEmpty();
   mResult.mFirstByte = std::chrono::duration_cast<std::chrono::microseconds>(
     mContext.mClock.Now() - mSentAt);
   v1::ExecuteUpdate update;
@@ -163,7 +168,7 @@
 void
 Execution::SendChunk(const QByteArray& aData)
 {
-  if (IsTicketed()) {
+  if (IsTicketed() || mIsUnbounded) {
     mResult.mBody.append(aData.constData(), static_cast<size_t>(aData.size()));
     mIsTooLarge = mIsTooLarge || static_cast<int64_t>(mResult.mBody.size()) >
                                    mContext.mLimits.mBodyBytes;
@@ -202,7 +207,8 @@
     Relay();
     return;
   }
-  mResult.mIsComplete = aOutcome.mIsComplete && !mIsTooLarge;
+  const bool isCut = mIsUnbounded && !nlohmann::json::accept(mResult.mBody);
+  mResult.mIsComplete = aOutcome.mIsComplete && !mIsTooLarge && !isCut;
   mResult.mIsSent = aOutcome.mIsSent;
   mResult.mIsBroken = !aOutcome.mIsComplete;
   mResult.mReason = mIsTooLarge ? "the back end's answer is too large"
--- a/src/agent/internal/execution.h
+++ b/src/agent/internal/execution.h
@@ -104,6 +104,8 @@
   bool mIsResuming = false;
   bool mIsOver = false;
   bool mIsTooLarge = false;
+  /** A document without a stated length; whole only if it parses. */
+  bool mIsUnbounded = false;
   std::optional<net::HttpOutcome> mOutcome;
   global::TimePoint mSentAt{};
   global::TimePoint mStallDeadline = global::TimePoint::max();
--- a/src/entry/internal/relaysession.cpp
+++ b/src/entry/internal/relaysession.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr char kLogTag[] = "entry";
+constexpr char kEventStream[] = "text/event-stream";
 constexpr size_t kStreamIdBytes = 12;
 constexpr size_t kAffinityPrefixBytes = 512;
 constexpr size_t kMaxReorderedBytes = 64 * 1024;
@@ -202,6 +203,8 @@
   }
   if (!mHasHead) {
     mHasHead = true;
+    mIsEventStream =
+      mIsStreamed && aHead.content_type().starts_with(kEventStream);
     mExchange->BeginStream(
       aHead.http_status(),
       { { "Content-Type", QByteArray::fromStdString(aHead.content_type()) },
@@ -214,6 +217,7 @@
 RelaySession::HandleChunk(v1::ExecuteChunk aChunk)
 {
   mResumeDeadline = global::TimePoint::max();
+  mHasBytes = true;
   const std::string ready =
     mSequencer.Take(aChunk.offset(), std::move(*aChunk.mutable_data()));
   mExchange->WriteChunk(
@@ -225,7 +229,9 @@
 RelaySession::HandleEnd(const v1::ExecuteEnd& aEnd)
 {
   mSequencer.SetEnd(aEnd.length());
-  if (!mSequencer.IsComplete()) {
+  // Qt takes a chunked answer for whole when its connection is closed early.
+  const bool isCut = mIsEventStream && mHasBytes && !mFramer.HasEnded();
+  if (!mSequencer.IsComplete() || isCut) {
     HandleFailure({ ErrorKind::StreamLost, "the answer has a gap" });
     return;
   }
--- a/src/entry/internal/relaysession.h
+++ b/src/entry/internal/relaysession.h
@@ -65,6 +65,8 @@
   uint64_t mAttempt = 0;
   bool mIsFixed = false;
   bool mHasHead = false;
+  bool mIsEventStream = false;
+  bool mHasBytes = false;
   bool mIsHeldBack = false;
   /** The placement has been returned while the caller reads slowly. */
   bool mIsParked = false;
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -17,7 +17,10 @@
 {
   /** HTTP status, or 0 if no answer came. */
   int mStatus = 0;
-  /** Whether the answer arrived whole. */
+  /**
+   * Whether the answer arrived whole, as far as Qt can tell: an answer in
+   * chunks passes for whole when its connection is closed early.
+   */
   bool mIsComplete = false;
   /** Whether any byte of the body may have reached the server. */
   bool mIsSent = false;
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -6,6 +6,18 @@
 
 namespace {
 
+/** Whether an error only reports an HTTP status, so that the answer itself came
+ * whole. */
+bool
+IsWholeAnswer(QNetworkReply::NetworkError aError)
+{
+  const bool isClientError = aError >= QNetworkReply::ContentAccessDenied &&
+                             aError <= QNetworkReply::UnknownContentError;
+  const bool isServerError = aError >= QNetworkReply::InternalServerError &&
+                             aError <= QNetworkReply::UnknownServerError;
+  return aError == QNetworkReply::NoError || isClientError || isServerError;
+}
+
 QNetworkRequest
 ToQt(const HttpCallRequest& aRequest)
 {
@@ -101,13 +113,8 @@
   mTimer.stop();
   HttpOutcome outcome;
   outcome.mStatus = Status();
-  // An answer with an error status is complete as well: Qt reports those from
-  // 201 upwards in its range.
-  const bool isHttpError =
-    mReply->error() >= QNetworkReply::ContentAccessDenied;
   outcome.mIsComplete =
-    outcome.mStatus != 0 && !mIsTimedOut &&
-    (mReply->error() == QNetworkReply::NoError || isHttpError);
+    outcome.mStatus != 0 && !mIsTimedOut && IsWholeAnswer(mReply->error());
   outcome.mIsSent = !mBody || mBody->IsTouched();
   outcome.mIsTimedOut = mIsTimedOut;
   outcome.mReason = mIsTimedOut
--- a/src/framework/net/tests/httpcalltest.cpp
+++ b/src/framework/net/tests/httpcalltest.cpp
@@ -15,6 +15,8 @@
   CloseWithoutAnswer,
   CloseInsideStatusLine,
   AnswerThenCloseNext,
+  CutBody,
+  ServerError,
 };
 
 /** Server that counts the requests which arrive whole. */
@@ -49,13 +51,26 @@
         socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
         return;
       }
-      if (mTreatment == Treatment::CloseInsideStatusLine) {
-        socket->write("HTTP/1.");
-      }
+      socket->write(AnswerFor(mTreatment));
       socket->disconnectFromHost();
     });
   }
 
+  static QByteArray AnswerFor(Treatment aTreatment)
+  {
+    switch (aTreatment) {
+      case Treatment::CloseInsideStatusLine:
+        return "HTTP/1.";
+      case Treatment::CutBody:
+        return "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part";
+      case Treatment::ServerError:
+        return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: "
+               "4\r\n\r\noops";
+      default:
+        return {};
+    }
+  }
+
   QTcpServer mServer;
   Treatment mTreatment;
   int mArrivals = 0;
@@ -119,6 +134,31 @@
   CHECK_EQUAL(2, server.Arrivals());
 }
 
+TEST(HttpCall, ACutAnswerIsNotComplete)
+{
+  for (const Treatment treatment :
+       { Treatment::CutBody, Treatment::CloseInsideStatusLine }) {
+    CountingServer server(treatment);
+    QNetworkAccessManager manager;
+
+    const auto outcome = PostAndWait(manager, server.Url());
+
+    CHECK_FALSE(outcome.mIsComplete);
+    CHECK_EQUAL(1, server.Arrivals());
+  }
+}
+
+TEST(HttpCall, AWholeAnswerWithAnErrorStatusIsComplete)
+{
+  CountingServer server(Treatment::ServerError);
+  QNetworkAccessManager manager;
+
+  const auto outcome = PostAndWait(manager, server.Url());
+
+  CHECK_EQUAL(500, outcome.mStatus);
+  CHECK(outcome.mIsComplete);
+}
+
 TEST(HttpCall, ARefusedConnectionSendsNothing)
 {
   QTcpServer closed;
--- a/src/streams/eventframer.h
+++ b/src/streams/eventframer.h
@@ -20,6 +20,8 @@
 
   /** Takes bytes in order and returns the whole events with their ids. */
   std::string Take(const std::string& aBytes);
+  /** Whether the last whole event is the one that ends an answer. */
+  bool HasEnded() const { return mHasEnded; }
   /** Bytes of an event whose end has not come yet. */
   size_t HeldBytes() const { return mPartial.size(); }
 
@@ -27,6 +29,7 @@
   uint64_t mOffset;
   MakeId mMakeId;
   std::string mPartial;
+  bool mHasEnded = false;
 };
 
 }
--- a/src/streams/tests/eventframertest.cpp
+++ b/src/streams/tests/eventframertest.cpp
@@ -16,4 +16,7 @@
 
   CHECK_EQUAL(std::string("id: 9\ndata: a\n\nid: 18\ndata: b\n\n"), text);
   CHECK_EQUAL(2u, framer.HeldBytes());
+  CHECK_FALSE(framer.HasEnded());
+  framer.Take("ta: [DONE]\n\n");
+  CHECK(framer.HasEnded());
 }
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -80,7 +80,9 @@
   static void Pass(QTcpSocket* aFrom, QTcpSocket* aTo)
   {
     connect(aFrom, &QTcpSocket::readyRead, aTo, [aFrom, aTo] {
-      aTo->write(aFrom->readAll());
+      if (aTo->state() != QAbstractSocket::UnconnectedState) {
+        aTo->write(aFrom->readAll());
+      }
     });
     connect(aFrom, &QTcpSocket::disconnected, aTo, [aTo] {
       aTo->disconnectFromHost();
--- a/tests/scenarios/once.js
+++ b/tests/scenarios/once.js
@@ -40,7 +40,10 @@
 same("copy", "outcome_unknown", call(fleet.entries[1], "assignment", "lost", { "Idempotency-Key": lostKey }).json.error.kind);
 same("without a ticket of the caller", "outcome_unknown", call(fleet.entries[1], "assignment", "lost-2").json.error.kind);
 same("executions", [1, 1], [executions(fleet, "lost"), executions(fleet, "lost-2")]);
-fleet.services.forEach((s) => s.standin("mode", { losesAnswers: false, delayMilliseconds: 300 }));
+fleet.services.forEach((s) => s.standin("mode", { losesAnswers: false, cutsAnswers: true }));
+same("cut answer in chunks", "outcome_unknown", call(fleet.entries[0], "assignment", "cut").json.error.kind);
+same("executions", 1, executions(fleet, "cut"));
+fleet.services.forEach((s) => s.standin("mode", { cutsAnswers: false, delayMilliseconds: 300 }));
 
 // An entry is killed after it has sent: the caller asks another one and gets the answer.
 for (let i = 0; i < 3; ++i) {
--- a/tests/scenarios/wholeanswer.js
+++ b/tests/scenarios/wholeanswer.js
@@ -56,6 +56,12 @@
 fleet.ranks.forEach((r) => { r.agent.signal("KILL"); r.agent.start(); });
 agentKilled.forEach((c) => same("answer over a killed agent", expected, follow(c.number, c.body, [fleet.entries[2]])));
 
+// An engine dies between two chunks and starts again: the answer is not taken for whole.
+fleet.waitFor(fleet.entries[1]);
+const engineKilled = [0, 1, 2].map((i) => start(fleet.entries[1], "engine killed " + i));
+fleet.ranks.forEach((r) => { r.killBackEnd(); r.startBackEnd(); });
+engineKilled.forEach((c) => same("answer over a killed engine", expected, follow(c.number, c.body, [fleet.entries[2]])));
+
 // A caller that goes away: the engine's stream is cancelled.
 fleet.waitFor(fleet.entries[1]);
 const gone = start(fleet.entries[1], "gone");
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -179,6 +179,7 @@
   mByRequest[generation->mRequestId] = generation;
   aExchange->SetOnGone([this, generation] {
     generation->mExchange = nullptr;
+    mCancelled += !generation->mIsOver;
     End(generation);
   });
   if (generation->mIsStreamed) {
--- a/tests/standins/servicestandin.cpp
+++ b/tests/standins/servicestandin.cpp
@@ -24,6 +24,7 @@
     const Json body = BodyOf(aExchange);
     mDelayMilliseconds = body.value("delayMilliseconds", mDelayMilliseconds);
     mLosesAnswers = body.value("losesAnswers", mLosesAnswers);
+    mCutsAnswers = body.value("cutsAnswers", mCutsAnswers);
     ReplyJson(aExchange, 200, {});
   } else {
     ReplyJson(aExchange, 200, mExecutions);
@@ -38,6 +39,12 @@
   mRequests.push_back(Describe(aExchange));
   const int count = ++mExecutions[id];
   const bool losesAnswer = mLosesAnswers;
+  if (mCutsAnswers) {
+    aExchange->BeginStream(200, { { "Content-Type", "application/json" } });
+    aExchange->WriteChunk("{\"id\":");
+    QTimer::singleShot(20, aExchange, [aExchange] { aExchange->Abort(); });
+    return;
+  }
   QTimer::singleShot(
     mDelayMilliseconds, aExchange, [aExchange, id, count, losesAnswer] {
       if (losesAnswer) {
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -152,6 +152,7 @@
   Json mRequests = Json::array();
   int mDelayMilliseconds = 0;
   bool mLosesAnswers = false;
+  bool mCutsAnswers = false;
   QObject mContext;
 };
 
