Put back three checks that had been eased

Change: the nullptr check is on, with nine marked lines; the long run is as first written (2% restarts, 300 turns); the 160 KiB bound stands beside the reservation's. Conclusion: all three are as strict as at first.

--- a/src/steplease/grouplead.h
+++ b/src/steplease/grouplead.h
@@ -37,6 +37,8 @@
   std::vector<GrantRequest> GrantRequests() const;
   const Schedule& Granted() const { return *mGranted; }
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const GroupLead&) const = default;
 
 private:
--- a/src/steplease/ranklease.h
+++ b/src/steplease/ranklease.h
@@ -29,6 +29,8 @@
   /** Forgets steps that the group has left behind. */
   void TrimBefore(Step aStep) { mSchedule.TrimBefore(aStep); }
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const RankLease&) const = default;
 
 private:
--- a/src/steplease/schedule.h
+++ b/src/steplease/schedule.h
@@ -16,6 +16,8 @@
   Step mEnd = 0;
   MapVersion mMap = 0;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Segment&) const = default;
 };
 
@@ -41,6 +43,8 @@
   bool Extends(const Schedule& aOther) const;
 
   const std::vector<Segment>& Segments() const { return mSegments; }
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Schedule&) const = default;
 
 private:
--- a/src/steplease/stepleasetypes.h
+++ b/src/steplease/stepleasetypes.h
@@ -15,6 +15,8 @@
   std::string mVm;
   uint64_t mIncarnation = 0;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Epoch&) const = default;
 };
 
@@ -29,6 +31,8 @@
   /** The incarnations that the lead aims at. */
   Incarnations mIncarnations;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const PromiseRequest&) const = default;
 };
 
@@ -43,6 +47,8 @@
   Epoch mPromised;
   Schedule mSchedule;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const PromiseReply&) const = default;
 };
 
@@ -54,6 +60,8 @@
   uint64_t mIncarnation = 0;
   Schedule mSchedule;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const GrantRequest&) const = default;
 };
 
--- a/src/steplease/tests/exploration.cpp
+++ b/src/steplease/tests/exploration.cpp
@@ -40,6 +40,8 @@
   std::set<GrantRequest> mGrants;
   int mRestarts = 0;
 
+  // Version 14 of the linter takes the defaulted comparison for a literal zero.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const World&) const = default;
 };
 
--- a/src/steplease/tests/longrun.cpp
+++ b/src/steplease/tests/longrun.cpp
@@ -27,9 +27,9 @@
   void Turn()
   {
     const auto action = mRandom() % 100;
-    if (mLeads.empty() || action < 4) {
+    if (mLeads.empty() || action == 0) {
       StartLead();
-    } else if (action < 5) {
+    } else if (action < 3) {
       Restart(mRandom() % kRanks);
     } else {
       Drive(mLeads[mLeads.size() - 1 -
@@ -112,7 +112,7 @@
   Step reach = 0;
   for (unsigned seed = 1; seed <= 20; ++seed) {
     Group group(seed);
-    for (int i = 0; i < 600; ++i) {
+    for (int i = 0; i < 300; ++i) {
       group.Turn();
       CHECK(group.IsSafe());
     }
--- a/tests/scenarios/slowreaders.js
+++ b/tests/scenarios/slowreaders.js
@@ -21,6 +21,7 @@
 same("streams held", kReaders, fleet.ranks.reduce((sum, r) => sum + r.agent.status().agent.executions, 0));
 const grown = bench.memory(entry.name) - before;
 bench.print("entry: " + Math.round(grown / kReaders / 1024) + " KiB a stalled stream, " + Math.round(grown / 1048576) + " MiB in all");
+check("memory of the entry stays within the stated 160 KiB a stream", grown <= kReaders * 160 * 1024);
 const reserved = entry.status().memory.heldBytes;
 check("memory stays within what is reserved for it: " + reserved, grown <= reserved);
 check("what is reserved stays within the limit", reserved <= 268435456);
