--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -13,18 +13,24 @@
 class Daemon
 {
 public:
-  explicit Daemon(std::shared_ptr<configuration::IProcessSettings> aSettings);
+  Daemon(std::shared_ptr<configuration::IProcessSettings> aSettings,
+         std::string aSettingsPath);
 
   /** Returns the exit code. */
   int Run();
 
 private:
   void BeginStop();
+  void Reload();
+  void CheckSettingsFile();
   void CheckIdle();
 
   global::SteadyClock mClock;
   kernel::Kernel mKernel;
   std::shared_ptr<configuration::IProcessSettings> mSettings;
+  const std::string mSettingsPath;
+  int64_t mSettingsChanged = 0;
+  QTimer mSettingsTimer;
   QTimer mStopTimer;
   global::TimePoint mEarliestExit{};
   bool mIsStopping = false;
--- a/src/app/internal/daemon.cpp
+++ b/src/app/internal/daemon.cpp
@@ -3,7 +3,11 @@
 #include "app/internal/signalwatcher.h"
 #include "framework/log/log.h"
 
+#include "framework/settings/jsondocument.h"
+
 #include <QCoreApplication>
+#include <QDateTime>
+#include <QFileInfo>
 
 namespace beryllever::app {
 
@@ -13,13 +17,17 @@
 constexpr std::chrono::milliseconds kIdleCheck{ 50 };
 /** Time in which callers and peers hear of the stop before the process goes. */
 constexpr std::chrono::milliseconds kMinStopTime{ 500 };
+/** The settings file may change without a signal. */
+constexpr std::chrono::milliseconds kSettingsCheck{ 1000 };
 constexpr int kExitStartFailed = 3;
 
 }
 
-Daemon::Daemon(std::shared_ptr<configuration::IProcessSettings> aSettings)
+Daemon::Daemon(std::shared_ptr<configuration::IProcessSettings> aSettings,
+               std::string aSettingsPath)
   : mKernel(aSettings->Role())
   , mSettings(std::move(aSettings))
+  , mSettingsPath(std::move(aSettingsPath))
 {
   mKernel.Provide<configuration::IProcessSettings>(mSettings);
 }
@@ -27,7 +35,7 @@
 int
 Daemon::Run()
 {
-  SignalWatcher signals([this] { BeginStop(); });
+  SignalWatcher signals([this] { BeginStop(); }, [this] { Reload(); });
   try {
     mKernel.RegisterAll();
     mKernel.StartAll();
@@ -38,6 +46,10 @@
   LOGI("Ready for work. role="
        << mSettings->Role() << " vm=" << mSettings->VmName()
        << " availabilityZone=" << mSettings->AvailabilityZone());
+  QObject::connect(&mSettingsTimer, &QTimer::timeout, &mSettingsTimer, [this] {
+    CheckSettingsFile();
+  });
+  mSettingsTimer.start(kSettingsCheck);
   const int code = QCoreApplication::exec();
   mKernel.StopAll();
   return code;
@@ -59,6 +71,37 @@
   mStopTimer.start(kIdleCheck);
 }
 
+void
+Daemon::CheckSettingsFile()
+{
+  const auto changed = QFileInfo(QString::fromStdString(mSettingsPath))
+                         .lastModified()
+                         .toMSecsSinceEpoch();
+  if (mSettingsChanged != 0 && changed != mSettingsChanged) {
+    Reload();
+  }
+  mSettingsChanged = changed;
+}
+
+void
+Daemon::Reload()
+{
+  const auto settings = global::Resolve(
+    [&]() -> global::Result<std::shared_ptr<configuration::IProcessSettings>> {
+      BOOST_LEAF_AUTO(text, settings::ReadFile(mSettingsPath));
+      return configuration::ParseSettings(text, mSettingsPath);
+    },
+    [](const global::Error& aError) {
+      LOGE("Changed settings are bad and are not taken. reason="
+           << aError.mMessage);
+      return std::shared_ptr<configuration::IProcessSettings>();
+    });
+  if (settings && settings->Role() == mSettings->Role()) {
+    LOGI("Settings are read again.");
+    mKernel.Reload(*settings);
+  }
+}
+
 void
 Daemon::CheckIdle()
 {
--- a/src/app/internal/distributionmodule.cpp
+++ b/src/app/internal/distributionmodule.cpp
@@ -1,7 +1,7 @@
 #include "distribution/configurationnode.h"
 #include "framework/kernel/kernel.h"
 #include "operations/ioperatorpages.h"
-#include "platform/consulplatform.h"
+#include "consul/consulplatform.h"
 #include "transport/grpcserver.h"
 
 namespace beryllever::app {
@@ -15,12 +15,15 @@
 {
 public:
   std::string_view Name() const override { return "distribution"; }
-  bool IsWanted(std::string_view) const override { return true; }
+  bool IsWanted(std::string_view aRole) const override
+  {
+    return aRole == "entry" || aRole == "agent";
+  }
 
   void RegisterExports(kernel::Kernel& aKernel) override
   {
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
-    const auto platform = std::make_shared<platform::ConsulPlatform>(
+    const auto platform = std::make_shared<consul::ConsulPlatform>(
       *aKernel.Get<QNetworkAccessManager>(), settings->Platform());
     mNode = std::make_shared<distribution::ConfigurationNode>(
       *aKernel.Get<global::IClock>(),
--- a/src/app/internal/signalwatcher.cpp
+++ b/src/app/internal/signalwatcher.cpp
@@ -7,13 +7,16 @@
 
 namespace beryllever::app {
 
-SignalWatcher::SignalWatcher(std::function<void()> aOnStop)
+SignalWatcher::SignalWatcher(std::function<void()> aOnStop,
+                             std::function<void()> aOnReload)
   : mOnStop(std::move(aOnStop))
+  , mOnReload(std::move(aOnReload))
 {
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   // Threads that start later inherit the mask, so that the signals come here
   // only.
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
@@ -25,7 +28,7 @@
       signalfd_siginfo information;
       while (read(mDescriptor, &information, sizeof(information)) ==
              sizeof(information)) {
-        mOnStop();
+        (information.ssi_signo == SIGHUP ? mOnReload : mOnStop)();
       }
     });
 }
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -18,13 +18,15 @@
   using namespace beryllever;
   CLI::App options{
     "berylleverd: one process of the load balancer beryllever.\n"
-    "Its settings name its role: entry, or agent in front of a back end."
+    "Its settings name its role: entry, agent in front of a back end, gateway "
+    "before\npublished pools, or rankagent beside a model engine."
   };
   std::string path;
   bool isCheckOnly = false;
   options
     .add_option(
       "--settings,settings", path, "File with the settings, JSON with comments")
+    ->envname("BERYLLEVER_CONFIG")
     ->required();
   options.add_flag("--check", isCheckOnly, "Check the settings and exit");
   options.footer("Exit codes: 0 stopped as asked, 2 bad settings, 3 an address "
@@ -51,7 +53,7 @@
   }
   QCoreApplication application(aCount, aArguments);
   log::Start(settings->VmName(), settings->LogLevel());
-  const int code = app::Daemon(settings).Run();
+  const int code = app::Daemon(settings, path).Run();
   log::Stop();
   return code;
 }
--- a/src/configuration/internal/processsettings.cpp
+++ b/src/configuration/internal/processsettings.cpp
@@ -32,6 +32,7 @@
     , mLogLevel(aJson.value("logLevel", "info"))
   {
     ReadLimits(aJson.value("limits", Json::object()));
+    ReadSite(aJson.value("site", Json::object()));
   }
 
   const std::string& Role() const override { return mRole; }
@@ -59,6 +60,7 @@
   const std::string& Collector() const override { return mCollector; }
   const std::string& LogLevel() const override { return mLogLevel; }
   const ProcessLimits& Limits() const override { return mLimits; }
+  const SiteSettings& Site() const override { return mSite; }
 
 private:
   void ReadLimits(const Json& aJson)
@@ -72,6 +74,25 @@
       aJson.value("queuedRequests", mLimits.mQueuedRequests);
   }
 
+  void ReadSite(const Json& aJson)
+  {
+    mSite.mRegion = aJson.value("region", "");
+    mSite.mStore = aJson.value("store", "");
+    mSite.mReadyAddress = aJson.value("readyAddress", "");
+    mSite.mDirectoryAddress = aJson.value("directoryAddress", "");
+    mSite.mEndpointAddress = aJson.value("endpointAddress", "");
+    mSite.mTimeToLive = std::chrono::seconds(
+      aJson.value("timeToLiveSeconds", mSite.mTimeToLive.count()));
+    mSite.mGrace = std::chrono::milliseconds(
+      aJson.value("graceMilliseconds", mSite.mGrace.count()));
+    mSite.mRetryRatio = aJson.value("retryRatio", mSite.mRetryRatio);
+    mSite.mRetryExtra = aJson.value("retryExtra", mSite.mRetryExtra);
+    mSite.mRetryWindow = std::chrono::milliseconds(
+      aJson.value("retryWindowMilliseconds", mSite.mRetryWindow.count()));
+    mSite.mColdOverage = aJson.value("coldOverage", mSite.mColdOverage);
+    mSite.mColdTolerance = aJson.value("coldTolerance", mSite.mColdTolerance);
+  }
+
   std::string mRole;
   std::string mVm;
   std::string mAvailabilityZone;
@@ -85,8 +106,28 @@
   std::string mCollector;
   std::string mLogLevel;
   ProcessLimits mLimits;
+  SiteSettings mSite;
 };
 
+Result<void>
+CheckSite(const IProcessSettings& aSettings, const std::string& aSource)
+{
+  const SiteSettings& site = aSettings.Site();
+  if (aSettings.Role() == "gateway" &&
+      (aSettings.CallerAddress().empty() || site.mReadyAddress.empty() ||
+       site.mDirectoryAddress.empty() || site.mStore.empty())) {
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": callerAddress, site.readyAddress, "
+                          "site.directoryAddress, site.store: a gateway needs "
+                          "them");
+  }
+  if (aSettings.Role() == "rankagent" && site.mEndpointAddress.empty()) {
+    return Fail(ErrorKind::InvalidConfiguration,
+                aSource + ": site.endpointAddress: a rank agent needs it");
+  }
+  return {};
+}
+
 Result<void>
 CheckRole(const IProcessSettings& aSettings, const std::string& aSource)
 {
@@ -98,6 +139,7 @@
     return Fail(ErrorKind::InvalidConfiguration,
                 aSource + ": backEnd: an agent needs it");
   }
+  BOOST_LEAF_CHECK(CheckSite(aSettings, aSource));
   if (aSettings.Platform().empty() && aSettings.Seeds().empty()) {
     return Fail(ErrorKind::InvalidConfiguration,
                 aSource + ": platform: this or seeds must name an address");
--- a/src/configuration/processsettings.h
+++ b/src/configuration/processsettings.h
@@ -3,6 +3,7 @@
 #include "configuration/configurationtypes.h"
 #include "framework/global/errors.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,7 +24,30 @@
   int mQueuedRequests = 1000;
 };
 
-/** Settings of one process, read once at its start. */
+/** What a gateway or a rank agent needs beyond the common settings. */
+struct SiteSettings
+{
+  std::string mRegion;
+  /** Address of the platform's store; a gateway's only. */
+  std::string mStore;
+  /** Address of the readiness page. */
+  std::string mReadyAddress;
+  /** Address of the page that tells callers which gateways to use. */
+  std::string mDirectoryAddress;
+  /** Address of the endpoint beside a rank agent. */
+  std::string mEndpointAddress;
+  /** How long callers may keep an answer of the directory. */
+  std::chrono::seconds mTimeToLive{ 2 };
+  /** Time from SIGTERM until the process must have ended. */
+  std::chrono::milliseconds mGrace{ 8000 };
+  double mRetryRatio = 0.2;
+  double mRetryExtra = 0;
+  std::chrono::milliseconds mRetryWindow{ 10000 };
+  double mColdOverage = 1;
+  double mColdTolerance = 0;
+};
+
+/** Settings of one process, read at its start and again when they change. */
 class IProcessSettings
 {
 public:
@@ -48,6 +72,7 @@
   virtual const std::string& Collector() const = 0;
   virtual const std::string& LogLevel() const = 0;
   virtual const ProcessLimits& Limits() const = 0;
+  virtual const SiteSettings& Site() const = 0;
 };
 
 /** Reads settings from JSON with comments. Error: InvalidConfiguration with key
--- a/src/platform/consulplatform.h
+++ b/src/consul/consulplatform.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "framework/net/httpcall.h"
-#include "platform/iplatform.h"
+#include "consul/iplatform.h"
 
 #include <QObject>
 #include <QTimer>
 #include <string>
 #include <vector>
 
-namespace beryllever::platform {
+namespace beryllever::consul {
 
 /**
  * Reads the platform through the HTTP interface of Consul: the key-value store
--- a/src/platform/internal/consulanswers.cpp
+++ b/src/consul/internal/consulanswers.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/consulanswers.h"
+#include "consul/internal/consulanswers.h"
 
 #include "framework/settings/jsondocument.h"
 
 #include <QByteArray>
 
-namespace beryllever::platform {
+namespace beryllever::consul {
 
 using global::ErrorKind;
 using global::Fail;
--- a/src/platform/internal/consulanswers.h
+++ b/src/consul/internal/consulanswers.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "framework/global/errors.h"
-#include "platform/iplatform.h"
+#include "consul/iplatform.h"
 
 #include <string>
 
-namespace beryllever::platform {
+namespace beryllever::consul {
 
 /** Folder of the published documents in the key-value store. */
 inline constexpr char kFolder[] = "beryllever/";
--- a/src/platform/internal/consulplatform.cpp
+++ b/src/consul/internal/consulplatform.cpp
@@ -1,12 +1,12 @@
-#include "platform/consulplatform.h"
+#include "consul/consulplatform.h"
 
 #include "framework/log/log.h"
-#include "platform/internal/consulanswers.h"
+#include "consul/internal/consulanswers.h"
 
 #include <algorithm>
 #include <random>
 
-namespace beryllever::platform {
+namespace beryllever::consul {
 
 namespace {
 
--- a/src/platform/iplatform.h
+++ b/src/consul/iplatform.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <vector>
 
-namespace beryllever::platform {
+namespace beryllever::consul {
 
 /** All published documents at one revision of the platform. */
 struct DocumentSnapshot
--- a/src/platform/tests/consulanswerstest.cpp
+++ b/src/consul/tests/consulanswerstest.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/consulanswers.h"
+#include "consul/internal/consulanswers.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,7 +8,7 @@
 
 TEST(ConsulAnswers, DocumentsAreDecoded)
 {
-  const auto documents = platform::ParseKeyValues(
+  const auto documents = consul::ParseKeyValues(
     R"([{"Key":"beryllever/routes/1","Value":"e30=","ModifyIndex":7,"CreateIndex":1}])");
 
   CHECK_EQUAL(std::string("routes/1"), documents.value()[0].mName);
@@ -18,7 +18,7 @@
 
 TEST(ConsulAnswers, NodesOfOthersAreLeftOut)
 {
-  const auto vms = platform::ParseNodes(R"([{"Node":"db","Meta":{}},
+  const auto vms = consul::ParseNodes(R"([{"Node":"db","Meta":{}},
     {"Node":"e1","Meta":{"beryllever-role":"entry","beryllever-availability-zone":"a","beryllever-state":"leaving"}}])");
 
   CHECK_EQUAL(1u, vms.value().size());
@@ -30,7 +30,7 @@
   const auto isRefused = [](const std::string& aBody) {
     return global::Resolve(
       [&]() -> global::Result<bool> {
-        BOOST_LEAF_CHECK(platform::ParseKeyValues(aBody));
+        BOOST_LEAF_CHECK(consul::ParseKeyValues(aBody));
         return false;
       },
       [](const global::Error&) { return true; });
--- a/src/distribution/configurationnode.h
+++ b/src/distribution/configurationnode.h
@@ -6,7 +6,7 @@
 #include "distribution/peerservice.h"
 #include "distribution/snapshotgate.h"
 #include "framework/metrics/metrics.h"
-#include "platform/iplatform.h"
+#include "consul/iplatform.h"
 #include "spread/revisionstore.h"
 #include "spread/sourceselection.h"
 
@@ -40,7 +40,7 @@
 public:
   ConfigurationNode(const global::IClock& aClock,
                     std::shared_ptr<configuration::IProcessSettings> aSettings,
-                    std::shared_ptr<platform::IPlatform> aPlatform,
+                    std::shared_ptr<consul::IPlatform> aPlatform,
                     metrics::Metrics& aMetrics);
 
   void Start();
@@ -64,8 +64,8 @@
     uint64_t mVmsRevision = 0;
   };
 
-  void TakeDocuments(platform::DocumentSnapshot aSnapshot);
-  void TakeVms(const platform::VmSnapshot& aSnapshot);
+  void TakeDocuments(consul::DocumentSnapshot aSnapshot);
+  void TakeVms(const consul::VmSnapshot& aSnapshot);
   void TakePeerUpdate(const v1::FollowUpdate& aUpdate);
   void TakePeerBatch(const v1::ChangeBatch& aBatch);
   void PublishTables(const spread::Application& aApplication);
@@ -82,7 +82,7 @@
 
   const global::IClock& mClock;
   std::shared_ptr<configuration::IProcessSettings> mSettings;
-  std::shared_ptr<platform::IPlatform> mPlatform;
+  std::shared_ptr<consul::IPlatform> mPlatform;
   metrics::Metrics& mMetrics;
 
   spread::RevisionStore mTablesStore;
@@ -93,8 +93,8 @@
 
   configuration::RowCache mRowCache;
   SnapshotGate mGate;
-  std::optional<platform::DocumentSnapshot> mHeldDocuments;
-  std::optional<platform::VmSnapshot> mHeldVms;
+  std::optional<consul::DocumentSnapshot> mHeldDocuments;
+  std::optional<consul::VmSnapshot> mHeldVms;
   std::string mRefusal;
   bool mIsLeaving = false;
   bool mIsWatcher = false;
--- a/src/distribution/internal/configurationnode.cpp
+++ b/src/distribution/internal/configurationnode.cpp
@@ -24,7 +24,7 @@
 ConfigurationNode::ConfigurationNode(
   const global::IClock& aClock,
   std::shared_ptr<configuration::IProcessSettings> aSettings,
-  std::shared_ptr<platform::IPlatform> aPlatform,
+  std::shared_ptr<consul::IPlatform> aPlatform,
   metrics::Metrics& aMetrics)
   : mClock(aClock)
   , mSettings(std::move(aSettings))
@@ -41,11 +41,11 @@
 ConfigurationNode::Start()
 {
   mPlatform->SetOnContact([this] { mPlatformHeardAt = mClock.Now(); });
-  mPlatform->SetOnDocuments([this](platform::DocumentSnapshot aSnapshot) {
+  mPlatform->SetOnDocuments([this](consul::DocumentSnapshot aSnapshot) {
     TakeDocuments(std::move(aSnapshot));
   });
   mPlatform->SetOnVms(
-    [this](const platform::VmSnapshot& aSnapshot) { TakeVms(aSnapshot); });
+    [this](const consul::VmSnapshot& aSnapshot) { TakeVms(aSnapshot); });
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
   mTimer.start(kTick);
   mPlatform->ReadOnce();
@@ -124,7 +124,7 @@
 }
 
 void
-ConfigurationNode::TakeDocuments(platform::DocumentSnapshot aSnapshot)
+ConfigurationNode::TakeDocuments(consul::DocumentSnapshot aSnapshot)
 {
   if (!mGate.IsOpen()) {
     mHeldDocuments = std::move(aSnapshot);
@@ -149,7 +149,7 @@
 }
 
 void
-ConfigurationNode::TakeVms(const platform::VmSnapshot& aSnapshot)
+ConfigurationNode::TakeVms(const consul::VmSnapshot& aSnapshot)
 {
   if (!mGate.IsOpen()) {
     mHeldVms = aSnapshot;
--- a/src/framework/kernel/imodule.h
+++ b/src/framework/kernel/imodule.h
@@ -2,6 +2,10 @@
 
 #include <string_view>
 
+namespace beryllever::configuration {
+class IProcessSettings;
+}
+
 namespace beryllever::kernel {
 
 class Kernel;
@@ -20,6 +24,8 @@
   virtual void RegisterExports(Kernel& aKernel) = 0;
   /** Starts the work; all interfaces of all modules are there. */
   virtual void Start(Kernel& aKernel) = 0;
+  /** Takes over changed settings. */
+  virtual void Reload(const configuration::IProcessSettings&) {}
   /** Begins a graceful stop: no new work is taken. */
   virtual void BeginStop() {}
   /** Whether work in flight has ended. */
--- a/src/framework/kernel/internal/kernel.cpp
+++ b/src/framework/kernel/internal/kernel.cpp
@@ -54,6 +54,14 @@
   }
 }
 
+void
+Kernel::Reload(const configuration::IProcessSettings& aSettings)
+{
+  for (const auto& module : mModules) {
+    module->Reload(aSettings);
+  }
+}
+
 void
 Kernel::BeginStop()
 {
--- a/src/framework/kernel/kernel.h
+++ b/src/framework/kernel/kernel.h
@@ -50,6 +50,7 @@
 
   void RegisterAll();
   void StartAll();
+  void Reload(const configuration::IProcessSettings& aSettings);
   void BeginStop();
   bool IsIdle() const;
   void StopAll();
--- /dev/null
+++ b/src/framework/net/httpserverconnection.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "framework/net/httpclientconnection.h"
+
+#include <QTimer>
+
+namespace beryllever::net {
+
+/** A request as it came, with its whole body. */
+struct ServerRequest
+{
+  std::string mMethod;
+  /** Path and query, byte for byte. */
+  std::string mTarget;
+  http::fields mFields;
+  std::string mBody;
+  bool mHasBody = false;
+  /** When the head was complete. */
+  global::TimePoint mArrival;
+
+  std::string_view Path() const;
+};
+
+/** What a peer may send and how long it may take. */
+struct ServerLimits
+{
+  int64_t mHeaderBytes = 16 * 1024;
+  int64_t mBodyBytes = 4 * 1024 * 1024;
+  std::chrono::milliseconds mHeaderTimeout{ 3000 };
+  std::chrono::milliseconds mIdleTimeout{ 15000 };
+};
+
+/** Reason phrase of a status. */
+std::string
+StatusLine(unsigned aStatus);
+
+/**
+ * Server side of one HTTP/1.1 connection. One request at a time is handed on
+ * with its whole body; its answer is either sent at once or piece by piece.
+ * What is not read is held back at the peer.
+ */
+class HttpServerConnection
+  : public std::enable_shared_from_this<HttpServerConnection>
+{
+public:
+  struct Handlers
+  {
+    std::function<void(ServerRequest)> mOnRequest;
+    /** The peer has gone away; called once, last. */
+    std::function<void()> mOnGone;
+    std::function<void()> mOnDrained;
+    /** A request that cannot be taken, answered with this status. */
+    std::function<void(unsigned, const std::string&)> mOnRefused;
+  };
+
+  HttpServerConnection(std::shared_ptr<TcpSocket> aSocket,
+                       const global::IClock& aClock,
+                       const ServerLimits& aLimits);
+
+  void Start(Handlers aHandlers);
+  /** Sends a whole answer. */
+  void Answer(unsigned aStatus, http::fields aFields, std::string_view aBody);
+  /** Begins an answer whose length is not known yet. */
+  void BeginAnswer(unsigned aStatus, http::fields aFields);
+  void WriteBody(std::string_view aBytes);
+  void EndAnswer();
+  /** Breaks the connection off, so that a begun answer cannot look whole. */
+  void Cut();
+  /** Bytes of the answer that the peer's side has not taken. */
+  size_t Pending() const { return mSocket->Pending(); }
+  /** Answers from now on tell the peer to close. */
+  void AnnounceClose() { mIsClosing = true; }
+  bool HasRequest() const { return mHasRequest; }
+  bool IsOpen() const { return mSocket->IsOpen(); }
+  /** Closes in order a connection that has no request. */
+  void Close();
+
+private:
+  using Parser = http::request_parser<http::string_body>;
+
+  void HandleData(std::string_view aBytes);
+  void Parse();
+  bool TakeHead();
+  void Deliver();
+  void Refuse(const boost::system::error_code& aError);
+  void HandleClosed();
+  void HandleTimeout();
+  void BeginNext();
+  std::string ConnectionHead(unsigned aStatus, http::fields& aFields);
+
+  std::shared_ptr<TcpSocket> mSocket;
+  const global::IClock& mClock;
+  const ServerLimits mLimits;
+  Handlers mHandlers;
+  std::unique_ptr<Parser> mParser;
+  std::string mInput;
+  QTimer mTimer;
+  global::TimePoint mArrival{};
+  bool mHasHead = false;
+  bool mHasRequest = false;
+  bool mIsChunked = false;
+  bool mIsKeepAlive = true;
+  bool mIsHttp11 = true;
+  bool mIsHeadRequest = false;
+  bool mIsClosing = false;
+};
+
+}
--- /dev/null
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -0,0 +1,331 @@
+#include "framework/net/httpserverconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <charconv>
+
+namespace beryllever::net {
+
+namespace {
+
+/** Bytes of a next request that are taken while one is being answered. */
+constexpr size_t kMaxReadAhead = 64 * 1024;
+/** Idle time granted beyond the limit, so that a request sent at the limit does
+ * not cross the close. */
+constexpr std::chrono::milliseconds kIdleSlack{ 500 };
+
+unsigned
+StatusFor(const boost::system::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  return 400;
+}
+
+}
+
+std::string_view
+ServerRequest::Path() const
+{
+  return std::string_view(mTarget).substr(0, mTarget.find('?'));
+}
+
+std::string
+StatusLine(unsigned aStatus)
+{
+  const std::string_view reason =
+    http::obsolete_reason(static_cast<http::status>(aStatus));
+  return "HTTP/1.1 " + std::to_string(aStatus) + " " +
+         (reason == "<unknown-status>" ? "Unknown" : std::string(reason));
+}
+
+HttpServerConnection::HttpServerConnection(std::shared_ptr<TcpSocket> aSocket,
+                                           const global::IClock& aClock,
+                                           const ServerLimits& aLimits)
+  : mSocket(std::move(aSocket))
+  , mClock(aClock)
+  , mLimits(aLimits)
+{
+  mTimer.setSingleShot(true);
+  QObject::connect(
+    &mTimer, &QTimer::timeout, &mTimer, [this] { HandleTimeout(); });
+}
+
+void
+HttpServerConnection::Start(Handlers aHandlers)
+{
+  mHandlers = std::move(aHandlers);
+  const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
+  mSocket->SetHandlers({ .mOnConnected = {},
+                         .mOnData =
+                           [weak](std::string_view aBytes) {
+                             if (const auto self = weak.lock()) {
+                               self->HandleData(aBytes);
+                             }
+                           },
+                         .mOnDrained =
+                           [weak] {
+                             const auto self = weak.lock();
+                             if (self && self->mHandlers.mOnDrained) {
+                               self->mHandlers.mOnDrained();
+                             }
+                           },
+                         .mOnClosed =
+                           [weak](CloseReason) {
+                             if (const auto self = weak.lock()) {
+                               self->HandleClosed();
+                             }
+                           } });
+  BeginNext();
+}
+
+void
+HttpServerConnection::BeginNext()
+{
+  mParser = std::make_unique<Parser>();
+  mParser->eager(true);
+  mParser->header_limit(static_cast<uint32_t>(mLimits.mHeaderBytes));
+  mParser->body_limit(static_cast<uint64_t>(mLimits.mBodyBytes));
+  mHasHead = false;
+  mHasRequest = false;
+  mSocket->SetReading(true);
+  mTimer.start(mLimits.mIdleTimeout + kIdleSlack);
+  if (!mInput.empty()) {
+    mTimer.start(mLimits.mHeaderTimeout);
+    Parse();
+  }
+}
+
+void
+HttpServerConnection::HandleData(std::string_view aBytes)
+{
+  const auto self = shared_from_this();
+  const bool isFirst = mInput.empty() && !mHasHead && !mHasRequest;
+  mInput.append(aBytes);
+  if (mHasRequest) {
+    // Reading goes on, so that a peer that leaves is noticed.
+    if (mInput.size() > kMaxReadAhead) {
+      mSocket->SetReading(false);
+    }
+    return;
+  }
+  if (isFirst) {
+    mTimer.start(mLimits.mHeaderTimeout);
+  }
+  Parse();
+}
+
+void
+HttpServerConnection::Parse()
+{
+  while (!mHasRequest && !mInput.empty() && mSocket->IsOpen()) {
+    boost::system::error_code ec;
+    const size_t n = mParser->put(boost::asio::buffer(mInput), ec);
+    mInput.erase(0, n);
+    if (ec && ec != http::error::need_more) {
+      Refuse(ec);
+      return;
+    }
+    if (!mHasHead && mParser->is_header_done() && !TakeHead()) {
+      return;
+    }
+    if (mParser->is_done()) {
+      Deliver();
+      return;
+    }
+    if (ec == http::error::need_more || n == 0) {
+      return;
+    }
+  }
+}
+
+bool
+HttpServerConnection::TakeHead()
+{
+  const auto& message = mParser->get();
+  mHasHead = true;
+  mArrival = mClock.Now();
+  // The body may take as long as its sender likes to wait.
+  mTimer.start(mLimits.mIdleTimeout);
+  mIsHttp11 = message.version() >= 11;
+  mIsKeepAlive = message.keep_alive();
+  mIsHeadRequest = message.method() == http::verb::head;
+  if (message.method() == http::verb::connect ||
+      (mIsHttp11 && message.count(http::field::host) != 1)) {
+    Refuse(make_error_code(http::error::bad_field));
+    return false;
+  }
+  const auto expect = message.find(http::field::expect);
+  if (expect != message.end() && !mParser->is_done()) {
+    mSocket->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return true;
+}
+
+void
+HttpServerConnection::Deliver()
+{
+  mTimer.stop();
+  mHasRequest = true;
+  const bool hasBody =
+    mParser->chunked() || mParser->content_length().has_value();
+  auto message = mParser->release();
+  ServerRequest request{ .mMethod = std::string(message.method_string()),
+                         .mTarget = std::string(message.target()),
+                         .mFields = message.base(),
+                         .mBody = std::move(message.body()),
+                         .mHasBody = hasBody,
+                         .mArrival = mArrival };
+  if (const auto onRequest = mHandlers.mOnRequest) {
+    onRequest(std::move(request));
+  }
+}
+
+void
+HttpServerConnection::Refuse(const boost::system::error_code& aError)
+{
+  const unsigned status = StatusFor(aError);
+  mHasRequest = true;
+  mIsClosing = true;
+  if (mHandlers.mOnRefused) {
+    mHandlers.mOnRefused(status, aError.message());
+  }
+  Answer(status, {}, aError.message());
+}
+
+std::string
+HttpServerConnection::ConnectionHead(unsigned aStatus, http::fields& aFields)
+{
+  if (mIsClosing || !mIsKeepAlive) {
+    mIsKeepAlive = false;
+    aFields.set(http::field::connection, "close");
+  } else if (!mIsHttp11) {
+    aFields.set(http::field::connection, "keep-alive");
+  }
+  return HeadText(StatusLine(aStatus), aFields);
+}
+
+void
+HttpServerConnection::Answer(unsigned aStatus,
+                             http::fields aFields,
+                             std::string_view aBody)
+{
+  mIsChunked = false;
+  const bool mayHaveBody = aStatus != 204 && aStatus != 304;
+  if (mayHaveBody) {
+    aFields.set(http::field::content_length, std::to_string(aBody.size()));
+  }
+  std::string text = ConnectionHead(aStatus, aFields);
+  if (mayHaveBody && !mIsHeadRequest) {
+    text += aBody;
+  }
+  mSocket->Write(text);
+  EndAnswer();
+}
+
+void
+HttpServerConnection::BeginAnswer(unsigned aStatus, http::fields aFields)
+{
+  mIsChunked = mIsHttp11;
+  if (mIsChunked) {
+    aFields.set(http::field::transfer_encoding, "chunked");
+  } else {
+    mIsKeepAlive = false;
+  }
+  mSocket->Write(ConnectionHead(aStatus, aFields));
+}
+
+void
+HttpServerConnection::WriteBody(std::string_view aBytes)
+{
+  if (aBytes.empty() || mIsHeadRequest) {
+    return;
+  }
+  if (!mIsChunked) {
+    mSocket->Write(aBytes);
+    return;
+  }
+  std::array<char, 20> size{};
+  const auto [end, ec] =
+    std::to_chars(size.data(), size.data() + size.size(), aBytes.size(), 16);
+  std::string chunk(size.data(), end);
+  chunk += "\r\n";
+  chunk += aBytes;
+  chunk += "\r\n";
+  mSocket->Write(chunk);
+}
+
+void
+HttpServerConnection::EndAnswer()
+{
+  const auto self = shared_from_this();
+  if (mIsChunked && !mIsHeadRequest) {
+    mSocket->Write("0\r\n\r\n");
+  }
+  mIsChunked = false;
+  if (!mIsKeepAlive) {
+    const auto onGone = std::move(mHandlers.mOnGone);
+    mHandlers = {};
+    mTimer.stop();
+    mSocket->CloseAfterWrite();
+    if (onGone) {
+      onGone();
+    }
+    return;
+  }
+  if (mSocket->IsOpen()) {
+    BeginNext();
+  }
+}
+
+void
+HttpServerConnection::Cut()
+{
+  const auto self = shared_from_this();
+  mSocket->Abort();
+  HandleClosed();
+}
+
+void
+HttpServerConnection::Close()
+{
+  const auto self = shared_from_this();
+  mSocket->Close();
+  HandleClosed();
+}
+
+void
+HttpServerConnection::HandleClosed()
+{
+  const auto self = shared_from_this();
+  mTimer.stop();
+  const auto onGone = std::move(mHandlers.mOnGone);
+  mHandlers = {};
+  if (onGone) {
+    onGone();
+  }
+}
+
+void
+HttpServerConnection::HandleTimeout()
+{
+  if (mHasRequest) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (!mHasHead && mInput.empty()) {
+    Close();
+    return;
+  }
+  mHasRequest = true;
+  mIsClosing = true;
+  if (mHandlers.mOnRefused) {
+    mHandlers.mOnRefused(408, "the request did not arrive in time");
+  }
+  Answer(408, {}, "the request did not arrive in time");
+}
+
+}
--- /dev/null
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -0,0 +1,404 @@
+#include "framework/net/tcpsocket.h"
+
+#include "framework/log/log.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace beryllever::net {
+
+namespace {
+
+constexpr char kLogTag[] = "net";
+constexpr size_t kReadBytes = 16 * 1024;
+/** Reads in a row before other connections get their turn. */
+constexpr int kReadsPerTurn = 4;
+constexpr int kBacklog = 512;
+/** Time without acknowledgement after which a connection counts as broken; with
+ * the probes below it finds a silent one within about 2.5 s. */
+constexpr unsigned kUserTimeoutMilliseconds = 2500;
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 2;
+
+template<typename Value>
+void
+SetOption(int aDescriptor, int aLevel, int aName, Value aValue)
+{
+  if (setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue)) != 0) {
+    LOGW("A socket option cannot be set. option=" << aName << " reason="
+                                                  << std::strerror(errno));
+  }
+}
+
+sockaddr_in
+ToNative(const TcpAddress& aAddress)
+{
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(aAddress.mPort);
+  inet_pton(AF_INET, aAddress.mHost.c_str(), &native.sin_addr);
+  return native;
+}
+
+void
+DisableAndDelete(QSocketNotifier*& aNotifier)
+{
+  if (aNotifier != nullptr) {
+    aNotifier->setEnabled(false);
+    aNotifier->deleteLater();
+    aNotifier = nullptr;
+  }
+}
+
+}
+
+TcpAddress
+ParseTcpAddress(std::string_view aText)
+{
+  const size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return {};
+  }
+  TcpAddress address{ std::string(aText.substr(0, colon)) };
+  const char* const end = aText.data() + aText.size();
+  const auto [last, ec] =
+    std::from_chars(aText.data() + colon + 1, end, address.mPort);
+  in_addr number{};
+  if (ec != std::errc() || last != end ||
+      inet_pton(AF_INET, address.mHost.c_str(), &number) != 1) {
+    return {};
+  }
+  return address;
+}
+
+std::string
+ToText(const TcpAddress& aAddress)
+{
+  return aAddress.mHost + ":" + std::to_string(aAddress.mPort);
+}
+
+TcpSocket::TcpSocket(int aDescriptor)
+  : mDescriptor(aDescriptor)
+{
+}
+
+std::shared_ptr<TcpSocket>
+TcpSocket::Accepted(int aDescriptor)
+{
+  std::shared_ptr<TcpSocket> socket(new TcpSocket(aDescriptor));
+  socket->Configure();
+  socket->Watch();
+  return socket;
+}
+
+std::shared_ptr<TcpSocket>
+TcpSocket::Connecting(const TcpAddress& aAddress)
+{
+  const int descriptor =
+    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  std::shared_ptr<TcpSocket> socket(new TcpSocket(descriptor));
+  socket->mIsConnected = false;
+  if (descriptor < 0) {
+    LOGW("No socket can be had. reason=" << std::strerror(errno));
+    return socket;
+  }
+  socket->Configure();
+  const sockaddr_in native = ToNative(aAddress);
+  if (connect(descriptor,
+              reinterpret_cast<const sockaddr*>(&native),
+              sizeof(native)) != 0 &&
+      errno != EINPROGRESS) {
+    close(descriptor);
+    socket->mDescriptor = -1;
+    return socket;
+  }
+  socket->Watch();
+  return socket;
+}
+
+TcpSocket::~TcpSocket()
+{
+  Release();
+}
+
+void
+TcpSocket::Configure() const
+{
+  SetOption<int>(mDescriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption<int>(mDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption<int>(mDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption<int>(
+    mDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetOption<int>(mDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  SetOption<unsigned>(
+    mDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+}
+
+void
+TcpSocket::Watch()
+{
+  mReadNotifier = new QSocketNotifier(mDescriptor, QSocketNotifier::Read);
+  mWriteNotifier = new QSocketNotifier(mDescriptor, QSocketNotifier::Write);
+  mWriteNotifier->setEnabled(!mIsConnected);
+  // A handler may let go of the last owner, so each keeps the socket alive.
+  QObject::connect(
+    mReadNotifier, &QSocketNotifier::activated, mReadNotifier, [this] {
+      const auto self = shared_from_this();
+      HandleReadable();
+    });
+  QObject::connect(
+    mWriteNotifier, &QSocketNotifier::activated, mWriteNotifier, [this] {
+      const auto self = shared_from_this();
+      HandleWritable();
+    });
+}
+
+void
+TcpSocket::SetHandlers(Handlers aHandlers)
+{
+  mHandlers = std::move(aHandlers);
+}
+
+void
+TcpSocket::Write(std::string_view aBytes)
+{
+  if (!IsOpen() || mIsClosing || mHasFailedWrite) {
+    return;
+  }
+  mOutput.append(aBytes);
+  if (mIsConnected) {
+    Flush();
+  }
+}
+
+void
+TcpSocket::SetReading(bool aIsReading)
+{
+  mIsReading = aIsReading;
+  if (mReadNotifier != nullptr) {
+    mReadNotifier->setEnabled(aIsReading);
+  }
+}
+
+void
+TcpSocket::CloseAfterWrite()
+{
+  mHandlers = {};
+  if (Pending() == 0 || !mIsConnected) {
+    Release();
+    return;
+  }
+  mIsClosing = true;
+  SetReading(false);
+}
+
+void
+TcpSocket::Abort()
+{
+  if (IsOpen()) {
+    const linger reset{ .l_onoff = 1, .l_linger = 0 };
+    SetOption(mDescriptor, SOL_SOCKET, SO_LINGER, reset);
+  }
+  Close();
+}
+
+void
+TcpSocket::Close()
+{
+  mHandlers = {};
+  Release();
+}
+
+void
+TcpSocket::HandleReadable()
+{
+  if (!mIsConnected) {
+    FinishConnecting();
+    return;
+  }
+  std::array<char, kReadBytes> buf;
+  for (int i = 0; i < kReadsPerTurn && IsOpen() && mIsReading; ++i) {
+    const ssize_t n = recv(mDescriptor, buf.data(), buf.size(), 0);
+    if (n > 0) {
+      if (const auto onData = mHandlers.mOnData) {
+        onData({ buf.data(), static_cast<size_t>(n) });
+      }
+      if (static_cast<size_t>(n) < buf.size()) {
+        return;
+      }
+      continue;
+    }
+    if (n == 0) {
+      Fail(CloseReason::Finished);
+      return;
+    }
+    if (errno != EAGAIN && errno != EINTR) {
+      Fail(CloseReason::Reset);
+    }
+    return;
+  }
+}
+
+void
+TcpSocket::HandleWritable()
+{
+  if (!mIsConnected) {
+    FinishConnecting();
+    return;
+  }
+  Flush();
+  if (mIsClosing && Pending() == 0) {
+    Release();
+    return;
+  }
+  if (Pending() == 0 && mHandlers.mOnDrained) {
+    const auto onDrained = mHandlers.mOnDrained;
+    onDrained();
+  }
+}
+
+void
+TcpSocket::FinishConnecting()
+{
+  int error = 0;
+  socklen_t length = sizeof(error);
+  if (getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 ||
+      error != 0) {
+    Fail(CloseReason::Refused);
+    return;
+  }
+  mIsConnected = true;
+  Flush();
+  if (IsOpen() && mHandlers.mOnConnected) {
+    const auto onConnected = mHandlers.mOnConnected;
+    onConnected();
+  }
+}
+
+void
+TcpSocket::Flush()
+{
+  while (Pending() > 0) {
+    const ssize_t n = send(mDescriptor,
+                           mOutput.data() + mOutputStart,
+                           Pending(),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      // The read side reports the end of a broken connection, after any
+      // answer that has already arrived.
+      mHasFailedWrite = errno != EAGAIN;
+      break;
+    }
+    mOutputStart += static_cast<size_t>(n);
+  }
+  if (Pending() == 0 || mHasFailedWrite) {
+    mOutput.clear();
+    mOutputStart = 0;
+  }
+  if (mWriteNotifier != nullptr) {
+    mWriteNotifier->setEnabled(Pending() > 0);
+  }
+  if (mHasFailedWrite && mReadNotifier != nullptr && !mIsClosing) {
+    mReadNotifier->setEnabled(true);
+    mIsReading = true;
+  }
+}
+
+void
+TcpSocket::Fail(CloseReason aReason)
+{
+  const auto onClosed = std::move(mHandlers.mOnClosed);
+  mHandlers = {};
+  Release();
+  if (onClosed) {
+    onClosed(aReason);
+  }
+}
+
+void
+TcpSocket::Release()
+{
+  DisableAndDelete(mReadNotifier);
+  DisableAndDelete(mWriteNotifier);
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+    mDescriptor = -1;
+  }
+}
+
+TcpListener::~TcpListener()
+{
+  Close();
+}
+
+bool
+TcpListener::Listen(const TcpAddress& aAddress, OnAccepted aOnAccepted)
+{
+  mOnAccepted = std::move(aOnAccepted);
+  mDescriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (mDescriptor < 0) {
+    return false;
+  }
+  SetOption<int>(mDescriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  sockaddr_in native = ToNative(aAddress);
+  socklen_t length = sizeof(native);
+  auto* const address = reinterpret_cast<sockaddr*>(&native);
+  if (bind(mDescriptor, address, length) != 0 ||
+      listen(mDescriptor, kBacklog) != 0 ||
+      getsockname(mDescriptor, address, &length) != 0) {
+    LOGE("An address cannot be listened on. address="
+         << ToText(aAddress) << " reason=" << std::strerror(errno));
+    Close();
+    return false;
+  }
+  mPort = ntohs(native.sin_port);
+  mNotifier =
+    std::make_unique<QSocketNotifier>(mDescriptor, QSocketNotifier::Read);
+  QObject::connect(mNotifier.get(),
+                   &QSocketNotifier::activated,
+                   mNotifier.get(),
+                   [this] { AcceptAll(); });
+  return true;
+}
+
+void
+TcpListener::Close()
+{
+  mNotifier.reset();
+  if (mDescriptor >= 0) {
+    close(mDescriptor);
+    mDescriptor = -1;
+  }
+}
+
+void
+TcpListener::AcceptAll()
+{
+  while (mDescriptor >= 0) {
+    const int n =
+      accept4(mDescriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (n >= 0) {
+      mOnAccepted(TcpSocket::Accepted(n));
+      continue;
+    }
+    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+      LOGW("A connection cannot be accepted. reason=" << std::strerror(errno));
+    }
+    if (errno != EINTR && errno != ECONNABORTED) {
+      return;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/framework/net/tcpsocket.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <QSocketNotifier>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace beryllever::net {
+
+/** An IPv4 number and a port. */
+struct TcpAddress
+{
+  std::string mHost;
+  uint16_t mPort = 0;
+
+  bool operator==(const TcpAddress&) const = default;
+  auto operator<=>(const TcpAddress&) const = default;
+};
+
+/** Splits "ip:port"; returns a port of 0 if the text is not such an address. */
+TcpAddress
+ParseTcpAddress(std::string_view aText);
+
+std::string
+ToText(const TcpAddress& aAddress);
+
+/** How a connection ended. */
+enum class CloseReason
+{
+  /** The peer has ended its side in order. */
+  Finished,
+  /** The peer or the network has broken the connection. */
+  Reset,
+  /** No connection could be made. */
+  Refused,
+};
+
+/**
+ * A non-blocking TCP connection on a Qt event loop. Other than QTcpSocket it
+ * tells an orderly end from a reset, which decides whether an answer without a
+ * length is whole.
+ */
+class TcpSocket : public std::enable_shared_from_this<TcpSocket>
+{
+public:
+  struct Handlers
+  {
+    std::function<void()> mOnConnected;
+    std::function<void(std::string_view)> mOnData;
+    /** All written bytes have left for the kernel. */
+    std::function<void()> mOnDrained;
+    std::function<void(CloseReason)> mOnClosed;
+  };
+
+  /** Takes an accepted connection. */
+  static std::shared_ptr<TcpSocket> Accepted(int aDescriptor);
+  /** Starts to connect; the end of a failed attempt comes through mOnClosed. */
+  static std::shared_ptr<TcpSocket> Connecting(const TcpAddress& aAddress);
+
+  ~TcpSocket();
+
+  void SetHandlers(Handlers aHandlers);
+  void Write(std::string_view aBytes);
+  /** Bytes written that the kernel has not taken. */
+  size_t Pending() const { return mOutput.size() - mOutputStart; }
+  void SetReading(bool aIsReading);
+  /** Ends the connection once pending bytes are out. No handler is called any
+   * more. */
+  void CloseAfterWrite();
+  /** Ends the connection at once; with a reset, so that the peer cannot take
+   * a cut answer for whole. No handler is called any more. */
+  void Abort();
+  /** Closes at once in order. No handler is called any more. */
+  void Close();
+  bool IsOpen() const { return mDescriptor >= 0; }
+  bool IsConnected() const { return mIsConnected; }
+
+private:
+  explicit TcpSocket(int aDescriptor);
+
+  void Configure() const;
+  void Watch();
+  void HandleReadable();
+  void HandleWritable();
+  void FinishConnecting();
+  void Flush();
+  void Fail(CloseReason aReason);
+  void Release();
+
+  int mDescriptor = -1;
+  bool mIsConnected = true;
+  bool mIsReading = true;
+  bool mIsClosing = false;
+  bool mHasFailedWrite = false;
+  std::string mOutput;
+  size_t mOutputStart = 0;
+  Handlers mHandlers;
+  QSocketNotifier* mReadNotifier = nullptr;
+  QSocketNotifier* mWriteNotifier = nullptr;
+};
+
+/** Accepts TCP connections on a Qt event loop. */
+class TcpListener
+{
+public:
+  using OnAccepted = std::function<void(std::shared_ptr<TcpSocket>)>;
+
+  ~TcpListener();
+
+  /** Returns false if the address cannot be had. */
+  bool Listen(const TcpAddress& aAddress, OnAccepted aOnAccepted);
+  void Close();
+  uint16_t Port() const { return mPort; }
+
+private:
+  void AcceptAll();
+
+  int mDescriptor = -1;
+  uint16_t mPort = 0;
+  OnAccepted mOnAccepted;
+  std::unique_ptr<QSocketNotifier> mNotifier;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gatewaymodule.cpp
@@ -0,0 +1,63 @@
+#include "configuration/processsettings.h"
+#include "framework/global/identifiers.h"
+#include "framework/kernel/kernel.h"
+#include "framework/log/log.h"
+#include "framework/metrics/metrics.h"
+#include "gateway/internal/gatewaynode.h"
+#include "operations/ioperatorpages.h"
+#include "transport/grpcserver.h"
+
+namespace beryllever::gateway {
+
+namespace {
+
+constexpr int kRank = 40;
+
+/** Takes callers' requests in front of the published pools. */
+class GatewayModule : public kernel::IModule
+{
+public:
+  std::string_view Name() const override { return "gateway"; }
+  bool IsWanted(std::string_view aRole) const override
+  {
+    return aRole == mesh::kGatewayRole;
+  }
+  void RegisterExports(kernel::Kernel&) override {}
+
+  void Start(kernel::Kernel& aKernel) override
+  {
+    const auto settings = aKernel.Get<configuration::IProcessSettings>();
+    mNode = std::make_unique<GatewayNode>(
+      *aKernel.Get<global::IClock>(),
+      *settings,
+      GatewayParts{ aKernel.Get<published::IRecordCodec>(),
+                    aKernel.Get<IRequestCodec>(),
+                    aKernel.Get<IDirectoryCodec>(),
+                    aKernel.Get<published::IPublishedSource>() },
+      *aKernel.Get<metrics::Metrics>());
+    aKernel.Get<transport::GrpcServer>()->Add(mNode->MeshService());
+    const auto pages = aKernel.Get<operations::IOperatorPages>();
+    pages->AddStatus("gateway", [this] { return mNode->Status(); });
+    pages->AddReadiness([this] { return mNode->NotReadyReason(); });
+    mNode->Start();
+  }
+
+  void Reload(const configuration::IProcessSettings& aSettings) override
+  {
+    mNode->Reload(aSettings);
+  }
+  void BeginStop() override { mNode->BeginLeaving(); }
+  bool IsIdle() const override { return mNode->IsDrained(); }
+  void Stop() override { mNode->Stop(); }
+
+private:
+  std::unique_ptr<GatewayNode> mNode;
+};
+
+const kernel::ModuleRegistrar kRegistrar(kRank, [] {
+  return std::make_unique<GatewayModule>();
+});
+
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/endpointledger.cpp
@@ -0,0 +1,185 @@
+#include "gateway/endpointledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace beryllever::gateway {
+
+namespace {
+
+using std::chrono::duration;
+using std::chrono::seconds;
+
+/** Reports older than this say nothing of the present load. */
+constexpr milliseconds kReportLifetime{ 800 };
+constexpr milliseconds kFailureHalfLife{ 2000 };
+constexpr milliseconds kUnreachablePause{ 700 };
+/** Span over which the bound on cold endpoints is kept, with room for requests
+ * that travel at different speeds. */
+constexpr milliseconds kColdWindow{ 1150 };
+/** Weight of one recent failure against a full batch of requests. */
+constexpr double kFailureWeight = 0.5;
+/** Weight of another zone: a little slower and its bytes are paid for. */
+constexpr double kOtherZoneWeight = 0.08;
+/** Requests beyond its slots that an engine may hold, as a share of them, so
+ * that a slot that falls free is taken at once. */
+constexpr double kEngineQueueShare = 0.35;
+
+}
+
+EndpointLedger::EndpointLedger(const global::IClock& aClock, uint64_t aSeed)
+  : mClock(aClock)
+  , mRandom(aSeed)
+{
+}
+
+void
+EndpointLedger::TakeReport(const std::string& aEndpoint,
+                           const LoadReport& aReport)
+{
+  Load& load = mLoads[aEndpoint];
+  load.mReport = aReport;
+  load.mOutstandingAtReport = load.mOutstanding;
+}
+
+void
+EndpointLedger::Retain(const published::Snapshot& aSnapshot)
+{
+  std::erase_if(mLoads, [&](const auto& aLoad) {
+    return aLoad.second.mOutstanding == 0 &&
+           aSnapshot.FindEndpoint(aLoad.first) == nullptr;
+  });
+}
+
+Placement
+EndpointLedger::Choose(const published::Snapshot& aSnapshot,
+                       const PlacementWish& aWish)
+{
+  const published::Pool* pool = aSnapshot.FindPool(aWish.mPool);
+  if (pool == nullptr) {
+    return {};
+  }
+  Placement placement;
+  double bestScore = 0;
+  const auto now = mClock.Now();
+  std::uniform_real_distribution<double> jitter(0, 0.02);
+  for (const published::Endpoint* endpoint :
+       aSnapshot.UsableEndpoints(aWish.mPool)) {
+    if (aWish.mTried.contains(endpoint->mId)) {
+      continue;
+    }
+    Load& load = mLoads[endpoint->mId];
+    if (placement.mChoice == Choice::None) {
+      placement.mChoice = Choice::Full;
+    }
+    const double requests = EstimatedRequests(load);
+    const double capacity =
+      endpoint->mSlots * (pool->mEngine ? 1 + kEngineQueueShare : 2);
+    const bool isClosed = load.mReport && !load.mReport->mIsOpen &&
+                          now - load.mReport->mTaken < kReportLifetime;
+    if (requests >= capacity || isClosed || IsColdBoundReached(load, *pool)) {
+      continue;
+    }
+    const bool isOtherZone =
+      endpoint->mAvailabilityZone != aWish.mAvailabilityZone;
+    const double score = requests / endpoint->mSlots +
+                         FailureScore(load) * kFailureWeight +
+                         (now < load.mAvoidedUntil ? 2 : 0) +
+                         (isOtherZone ? kOtherZoneWeight : 0) + jitter(mRandom);
+    if (placement.mEndpoint == nullptr || score < bestScore) {
+      placement = { Choice::Chosen, endpoint };
+      bestScore = score;
+    }
+  }
+  return placement;
+}
+
+void
+EndpointLedger::NoteSent(const std::string& aEndpoint)
+{
+  Load& load = mLoads[aEndpoint];
+  ++load.mOutstanding;
+  load.mSends.push_back(mClock.Now());
+  const auto horizon = mClock.Now() - seconds(10);
+  while (!load.mSends.empty() && load.mSends.front() < horizon) {
+    load.mSends.pop_front();
+  }
+}
+
+void
+EndpointLedger::NoteEnded(const std::string& aEndpoint,
+                          EndpointOutcome aOutcome)
+{
+  Load& load = mLoads[aEndpoint];
+  load.mOutstanding = std::max(0, load.mOutstanding - 1);
+  const auto now = mClock.Now();
+  switch (aOutcome) {
+    case EndpointOutcome::Failed:
+      load.mFailures = FailureScore(load) + 1;
+      load.mFailuresAt = now;
+      break;
+    case EndpointOutcome::Refused:
+      load.mFailures = FailureScore(load) + 0.5;
+      load.mFailuresAt = now;
+      break;
+    case EndpointOutcome::Unreachable:
+      load.mFailures = FailureScore(load) + 1;
+      load.mFailuresAt = now;
+      load.mAvoidedUntil = now + kUnreachablePause;
+      break;
+    case EndpointOutcome::Good:
+    case EndpointOutcome::Abandoned:
+      break;
+  }
+}
+
+int
+EndpointLedger::Outstanding(const std::string& aEndpoint) const
+{
+  const auto it = mLoads.find(aEndpoint);
+  return it == mLoads.end() ? 0 : it->second.mOutstanding;
+}
+
+bool
+EndpointLedger::IsColdBoundReached(const Load& aLoad,
+                                   const published::Pool& aPool) const
+{
+  if (aPool.mColdRequestsPerSecond <= 0) {
+    return false;
+  }
+  // An endpoint may turn cold at any moment, so the bound is always kept.
+  const double share = (aPool.mColdRequestsPerSecond * mBounds.mColdOverage +
+                        mBounds.mColdTolerance) /
+                       std::max(1, mBounds.mEntries);
+  const double allowed = std::max(1.0, std::floor(share));
+  const auto window = duration_cast<global::Duration>(
+    kColdWindow * std::max(1.0, 1.0 / share));
+  const auto since = mClock.Now() - window;
+  const auto recent = std::count_if(aLoad.mSends.begin(),
+                                    aLoad.mSends.end(),
+                                    [&](auto aSend) { return aSend > since; });
+  return static_cast<double>(recent) >= allowed;
+}
+
+double
+EndpointLedger::EstimatedRequests(const Load& aLoad) const
+{
+  const double own = aLoad.mOutstanding;
+  if (!aLoad.mReport ||
+      mClock.Now() - aLoad.mReport->mTaken > kReportLifetime) {
+    return own;
+  }
+  const double change = aLoad.mOutstanding - aLoad.mOutstandingAtReport;
+  return std::max(own, aLoad.mReport->mRequests + change);
+}
+
+double
+EndpointLedger::FailureScore(const Load& aLoad) const
+{
+  const double age =
+    duration<double>(mClock.Now() - aLoad.mFailuresAt).count();
+  return aLoad.mFailures *
+         std::exp2(-age / duration<double>(kFailureHalfLife).count());
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -0,0 +1,301 @@
+#include "gateway/internal/gatewaynode.h"
+
+#include "framework/global/identifiers.h"
+#include "framework/log/log.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace beryllever::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kLogTag[] = "gateway";
+constexpr milliseconds kTickInterval{ 100 };
+/** Answers of the directory name no more gateways than callers take. */
+constexpr size_t kMaxAddresses = 64;
+/** Time beyond the directory's time to live in which callers that kept an
+ * answer still come to a leaving gateway. */
+constexpr milliseconds kLeavingSlack{ 1000 };
+/** Answers that some callers keep longer than they were told. */
+constexpr int kKeptFactor = 2;
+/** Part of the grace time that is left for the end of the process. */
+constexpr milliseconds kGraceReserve{ 500 };
+/** Gateways that are assumed to share bounds before the peers are known. */
+constexpr int kMinGateways = 8;
+
+mesh::Member
+SelfMember(const configuration::IProcessSettings& aSettings)
+{
+  return { .mVm = aSettings.VmName(),
+           .mRole = aSettings.Role(),
+           .mIncarnation = global::NewIncarnation(),
+           .mPeerAddress = aSettings.PeerAddress(),
+           .mAvailabilityZone = aSettings.AvailabilityZone(),
+           .mCallerAddress = aSettings.CallerAddress() };
+}
+
+}
+
+GatewayNode::GatewayNode(const global::IClock& aClock,
+                         const configuration::IProcessSettings& aSettings,
+                         GatewayParts aParts,
+                         metrics::Metrics& aMetrics)
+  : mClock(aClock)
+  , mMetrics(aMetrics)
+  , mSite(aSettings.Site())
+  , mCallerAddress(aSettings.CallerAddress())
+  , mParts(std::move(aParts))
+  , mState(*mParts.mRecords, aClock)
+  , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
+  , mTraffic(aClock,
+             *mParts.mRequests,
+             aMetrics,
+             aSettings.AvailabilityZone())
+  , mReadiness(
+      aClock,
+      [this](const auto& aRequest) { return AnswerReadiness(aRequest); })
+  , mDirectory(aClock, [this](const auto& aRequest) {
+    return AnswerAddresses(aRequest);
+  })
+{
+  mMesh.SetListener(*this);
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
+}
+
+std::shared_ptr<grpc::Service>
+GatewayNode::MeshService() const
+{
+  return mMesh.Service();
+}
+
+void
+GatewayNode::Start()
+{
+  const bool isListening =
+    mTraffic.Start(net::ParseTcpAddress(mCallerAddress)) &&
+    mReadiness.Listen(net::ParseTcpAddress(mSite.mReadyAddress)) &&
+    mDirectory.Listen(net::ParseTcpAddress(mSite.mDirectoryAddress));
+  if (!isListening) {
+    throw std::runtime_error("an address for callers cannot be listened on");
+  }
+  ApplyBounds();
+  mParts.mSource->Start(*this);
+  mMesh.Start();
+  mTimer.start(kTickInterval);
+}
+
+void
+GatewayNode::Reload(const configuration::IProcessSettings& aSettings)
+{
+  mSite = aSettings.Site();
+  mMesh.SetSeeds(aSettings.Seeds());
+  LOGI("Settings are taken over. seeds=" << aSettings.Seeds().size());
+  ApplyBounds();
+}
+
+void
+GatewayNode::ApplyBounds()
+{
+  mTraffic.SetBounds({ mSite.mRetryRatio,
+                       mSite.mRetryExtra,
+                       mSite.mRetryWindow,
+                       mSite.mColdOverage,
+                       mSite.mColdTolerance },
+                     AssumedGateways());
+}
+
+int
+GatewayNode::AssumedGateways()
+{
+  return std::max(kMinGateways, mMesh.Members().MostGateways());
+}
+
+void
+GatewayNode::BeginLeaving()
+{
+  mIsLeaving = true;
+  const auto now = mClock.Now();
+  mLatestEnd = now + mSite.mGrace - kGraceReserve;
+  mEarliestEnd =
+    std::min(now + kKeptFactor * mSite.mTimeToLive + kLeavingSlack, mLatestEnd);
+  UpdateServing();
+  mMesh.Announce();
+  mTraffic.BeginLeaving();
+}
+
+bool
+GatewayNode::IsDrained() const
+{
+  const auto now = mClock.Now();
+  if (now >= mLatestEnd) {
+    return true;
+  }
+  return now >= mEarliestEnd && mTraffic.OpenRequests() == 0;
+}
+
+void
+GatewayNode::Stop()
+{
+  mTimer.stop();
+  mParts.mSource->Stop();
+  mMesh.Stop();
+  mTraffic.Stop();
+}
+
+settings::Json
+GatewayNode::Status() const
+{
+  const auto snapshot = mState.Current();
+  return { { "configurationVersion", snapshot->Version() },
+           { "publishedRevision", snapshot->Revision() },
+           { "endpoints", snapshot->AllEndpoints().size() },
+           { "outAvailabilityZones", snapshot->OutZones() },
+           { "storeReachable", mIsStoreReachable },
+           { "openRequests", mTraffic.OpenRequests() },
+           { "leaving", mIsLeaving } };
+}
+
+std::string
+GatewayNode::NotReadyReason() const
+{
+  if (mIsLeaving) {
+    return "the gateway is stopping";
+  }
+  return mState.Current()->IsKnown() ? "" : "no configuration is known";
+}
+
+PageAnswer
+GatewayNode::AnswerReadiness(const net::ServerRequest& aRequest) const
+{
+  if (aRequest.Path() != mParts.mDirectory->ReadinessPath()) {
+    return { .mStatus = 404 };
+  }
+  const std::string reason = NotReadyReason();
+  return { .mStatus = reason.empty() ? 200u : 503u, .mBody = reason };
+}
+
+PageAnswer
+GatewayNode::AnswerAddresses(const net::ServerRequest& aRequest) const
+{
+  if (aRequest.Path() != mParts.mDirectory->AddressPath()) {
+    return { .mStatus = 404 };
+  }
+  AddressAnswer answer{ .mTimeToLive = mSite.mTimeToLive };
+  if (NotReadyReason().empty()) {
+    answer.mAddresses.push_back(mCallerAddress);
+  }
+  for (const mesh::Member& member : mMesh.Members().Alive()) {
+    if (member.mIsServing && answer.mAddresses.size() < kMaxAddresses) {
+      answer.mAddresses.push_back(member.mCallerAddress);
+    }
+  }
+  if (answer.mAddresses.empty()) {
+    return { .mStatus = 503, .mBody = "no gateway is ready" };
+  }
+  return { .mContentType = "application/json",
+           .mBody = mParts.mDirectory->WriteAnswer(answer) };
+}
+
+void
+GatewayNode::TakeListing(std::vector<published::Record> aRecords,
+                         uint64_t aRevision)
+{
+  if (mState.TakeListing(aRecords, aRevision)) {
+    Publish();
+  }
+}
+
+void
+GatewayNode::TakeChanges(std::vector<published::Record> aRecords,
+                         uint64_t aRevision)
+{
+  if (mState.TakeChanges(aRecords, aRevision)) {
+    Publish();
+  }
+}
+
+void
+GatewayNode::TakeContact()
+{
+  mState.NoteContact();
+  if (!mIsStoreReachable) {
+    mIsStoreReachable = true;
+    LOGI("The platform's store answers.");
+  }
+}
+
+void
+GatewayNode::TakeFailure(const std::string& aReason)
+{
+  mState.NoteFailure();
+  mMetrics.Count("beryllever_store_failures");
+  LOGW("The platform's store does not serve this gateway. reason=" << aReason);
+  mIsStoreReachable = false;
+}
+
+mesh::RecordBatch
+GatewayNode::RecordsSince(uint64_t aRevision) const
+{
+  return { mState.Revision(), mState.RecordsSince(aRevision) };
+}
+
+uint64_t
+GatewayNode::PublishedRevision() const
+{
+  return mState.Revision();
+}
+
+void
+GatewayNode::TakeRecords(const mesh::RecordBatch& aBatch)
+{
+  if (mState.TakeChanges(aBatch.mRecords, aBatch.mRevision)) {
+    LOGI("Published items came from a peer. items="
+         << aBatch.mRecords.size() << " revision=" << aBatch.mRevision);
+    Publish();
+  }
+}
+
+void
+GatewayNode::HandleMembers()
+{
+  ApplyBounds();
+}
+
+void
+GatewayNode::HandleLoad(const mesh::EndpointLoad& aLoad)
+{
+  mTraffic.TakeLoad(net::ParseTcpAddress(aLoad.mEndpointAddress),
+                    aLoad.mRequests,
+                    aLoad.mIsOpen);
+}
+
+void
+GatewayNode::Publish()
+{
+  mTraffic.SetSnapshot(mState.Current());
+  UpdateServing();
+}
+
+void
+GatewayNode::UpdateServing()
+{
+  bool& isServing = mMesh.Members().Self().mIsServing;
+  const bool wasServing = isServing;
+  isServing = NotReadyReason().empty();
+  if (isServing && !wasServing) {
+    mMesh.Announce();
+  }
+}
+
+void
+GatewayNode::Tick()
+{
+  if (mState.ExpireRemovals()) {
+    Publish();
+  }
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/trafficserver.cpp
@@ -0,0 +1,86 @@
+#include "gateway/trafficserver.h"
+
+#include "gateway/internal/trafficcore.h"
+#include "transport/post.h"
+
+namespace beryllever::gateway {
+
+TrafficServer::TrafficServer(const global::IClock& aClock,
+                             const IRequestCodec& aCodec,
+                             metrics::Metrics& aMetrics,
+                             std::string aAvailabilityZone)
+  : mClock(aClock)
+  , mCodec(aCodec)
+  , mMetrics(aMetrics)
+  , mAvailabilityZone(std::move(aAvailabilityZone))
+{
+}
+
+TrafficServer::~TrafficServer()
+{
+  Stop();
+}
+
+bool
+TrafficServer::Start(const net::TcpAddress& aAddress)
+{
+  mContext.moveToThread(&mThread);
+  mThread.start();
+  bool isListening = false;
+  QMetaObject::invokeMethod(
+    &mContext,
+    [&] {
+      mCore = std::make_unique<TrafficCore>(
+        mClock, mCodec, mMetrics, mAvailabilityZone, mOpenRequests);
+      isListening = mCore->Listen(aAddress);
+    },
+    Qt::BlockingQueuedConnection);
+  return isListening;
+}
+
+void
+TrafficServer::Stop()
+{
+  if (!mThread.isRunning()) {
+    return;
+  }
+  QMetaObject::invokeMethod(
+    &mContext, [this] { mCore.reset(); }, Qt::BlockingQueuedConnection);
+  mThread.quit();
+  mThread.wait();
+}
+
+void
+TrafficServer::SetSnapshot(
+  std::shared_ptr<const published::Snapshot> aSnapshot)
+{
+  transport::Post(&mContext, [this, snapshot = std::move(aSnapshot)] {
+    mCore->State().SetSnapshot(snapshot);
+  });
+}
+
+void
+TrafficServer::SetBounds(const SiteBounds& aBounds, int aGateways)
+{
+  transport::Post(&mContext, [this, aBounds, aGateways] {
+    mCore->State().SetBounds(aBounds, aGateways);
+  });
+}
+
+void
+TrafficServer::TakeLoad(const net::TcpAddress& aEndpoint,
+                        int aRequests,
+                        bool aIsOpen)
+{
+  transport::Post(&mContext, [this, aEndpoint, aRequests, aIsOpen] {
+    mCore->TakeLoad(aEndpoint, aRequests, aIsOpen);
+  });
+}
+
+void
+TrafficServer::BeginLeaving()
+{
+  transport::Post(&mContext, [this] { mCore->BeginLeaving(); });
+}
+
+}
--- /dev/null
+++ b/src/mesh/internal/membertable.cpp
@@ -0,0 +1,97 @@
+#include "mesh/membertable.h"
+
+#include <algorithm>
+
+namespace beryllever::mesh {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Silence after which a process counts as gone; several gossip rounds, and
+ * well within the bound on naming dead ones to callers. */
+constexpr milliseconds kLifetime{ 2500 };
+/** Time after which an expired process is forgotten. */
+constexpr std::chrono::seconds kMemory{ 60 };
+
+}
+
+MemberTable::MemberTable(const global::IClock& aClock, Member aSelf)
+  : mClock(aClock)
+  , mSelf(std::move(aSelf))
+{
+}
+
+MergeResult
+MemberTable::Merge(const Member& aMember)
+{
+  if (aMember.mVm == mSelf.mVm) {
+    return MergeResult::Nothing;
+  }
+  const auto deadline = mClock.Now() + kLifetime;
+  const auto [it, isNew] =
+    mEntries.try_emplace(aMember.mVm, Entry{ aMember, deadline });
+  Entry& entry = it->second;
+  if (!isNew) {
+    const Member& known = entry.mMember;
+    const bool isNewer =
+      aMember.mIncarnation > known.mIncarnation ||
+      (aMember.mIncarnation == known.mIncarnation &&
+       aMember.mHeartbeat > known.mHeartbeat);
+    if (!isNewer) {
+      return MergeResult::Nothing;
+    }
+  }
+  const bool hasJoined = isNew || entry.mIsExpired ||
+                         aMember.mIncarnation > entry.mMember.mIncarnation;
+  const bool hasChanged = entry.mMember.mIsServing != aMember.mIsServing;
+  entry = { aMember, deadline };
+  const auto gateways = AliveWithRole(kGatewayRole).size() +
+                        (mSelf.mRole == kGatewayRole ? 1 : 0);
+  mMostGateways = std::max(mMostGateways, static_cast<int>(gateways));
+  if (hasJoined) {
+    return MergeResult::Joined;
+  }
+  return hasChanged ? MergeResult::Changed : MergeResult::Refreshed;
+}
+
+std::vector<Member>
+MemberTable::Expire()
+{
+  const auto now = mClock.Now();
+  std::vector<Member> expired;
+  for (auto& [vm, entry] : mEntries) {
+    if (!entry.mIsExpired && entry.mDeadline <= now) {
+      entry.mIsExpired = true;
+      expired.push_back(entry.mMember);
+    }
+  }
+  std::erase_if(mEntries, [&](const auto& aEntry) {
+    return aEntry.second.mDeadline + kMemory <= now;
+  });
+  return expired;
+}
+
+std::vector<Member>
+MemberTable::Alive() const
+{
+  const auto now = mClock.Now();
+  std::vector<Member> alive;
+  for (const auto& [vm, entry] : mEntries) {
+    if (entry.mDeadline > now) {
+      alive.push_back(entry.mMember);
+    }
+  }
+  return alive;
+}
+
+std::vector<Member>
+MemberTable::AliveWithRole(const std::string& aRole) const
+{
+  std::vector<Member> alive = Alive();
+  std::erase_if(alive,
+                [&](const Member& aMember) { return aMember.mRole != aRole; });
+  return alive;
+}
+
+}
--- /dev/null
+++ b/src/mesh/internal/messages.cpp
@@ -0,0 +1,71 @@
+#include "mesh/internal/messages.h"
+
+namespace beryllever::mesh {
+
+void
+Write(const Member& aMember, v1::Member& aMessage)
+{
+  aMessage.set_vm(aMember.mVm);
+  aMessage.set_role(aMember.mRole);
+  aMessage.set_incarnation(aMember.mIncarnation);
+  aMessage.set_heartbeat(aMember.mHeartbeat);
+  aMessage.set_peer_address(aMember.mPeerAddress);
+  aMessage.set_availability_zone(aMember.mAvailabilityZone);
+  aMessage.set_caller_address(aMember.mCallerAddress);
+  aMessage.set_is_serving(aMember.mIsServing);
+  aMessage.set_published_revision(aMember.mPublishedRevision);
+  if (aMember.mLoad) {
+    v1::EndpointLoad& load = *aMessage.mutable_load();
+    load.set_endpoint_address(aMember.mLoad->mEndpointAddress);
+    load.set_requests(aMember.mLoad->mRequests);
+    load.set_is_open(aMember.mLoad->mIsOpen);
+  }
+}
+
+Member
+Read(const v1::Member& aMessage)
+{
+  Member member{ .mVm = aMessage.vm(),
+                 .mRole = aMessage.role(),
+                 .mIncarnation = aMessage.incarnation(),
+                 .mHeartbeat = aMessage.heartbeat(),
+                 .mPeerAddress = aMessage.peer_address(),
+                 .mAvailabilityZone = aMessage.availability_zone(),
+                 .mCallerAddress = aMessage.caller_address(),
+                 .mIsServing = aMessage.is_serving(),
+                 .mPublishedRevision = aMessage.published_revision() };
+  if (aMessage.has_load()) {
+    member.mLoad = EndpointLoad{ aMessage.load().endpoint_address(),
+                                 aMessage.load().requests(),
+                                 aMessage.load().is_open() };
+  }
+  return member;
+}
+
+void
+Write(const RecordBatch& aBatch, v1::FetchReply& aMessage)
+{
+  aMessage.set_revision(aBatch.mRevision);
+  for (const published::Record& record : aBatch.mRecords) {
+    v1::PublishedRecord& message = *aMessage.add_records();
+    message.set_key(record.mKey);
+    message.set_data(record.mData);
+    message.set_revision(record.mRevision);
+    message.set_is_deleted(record.mIsDeleted);
+  }
+}
+
+RecordBatch
+Read(const v1::FetchReply& aMessage)
+{
+  RecordBatch batch{ .mRevision = aMessage.revision() };
+  for (const v1::PublishedRecord& record : aMessage.records()) {
+    batch.mRecords.push_back({ record.key(),
+                               record.data(),
+                               record.revision(),
+                               record.is_deleted() });
+  }
+  return batch;
+}
+
+}
--- /dev/null
+++ b/src/mesh/internal/messages.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "mesh.pb.h"
+#include "mesh/meshnode.h"
+
+namespace beryllever::mesh {
+
+void
+Write(const Member& aMember, v1::Member& aMessage);
+Member
+Read(const v1::Member& aMessage);
+
+void
+Write(const RecordBatch& aBatch, v1::FetchReply& aMessage);
+RecordBatch
+Read(const v1::FetchReply& aMessage);
+
+}
--- /dev/null
+++ b/src/mesh/meshtypes.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "published/publishedtypes.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace beryllever::mesh {
+
+/** What an agent says of the endpoint beside it. */
+struct EndpointLoad
+{
+  std::string mEndpointAddress;
+  int mRequests = 0;
+  bool mIsOpen = true;
+};
+
+/** One process of the system, in its own words or passed on by others. */
+struct Member
+{
+  std::string mVm;
+  std::string mRole;
+  /** Grows with each start of the process. */
+  uint64_t mIncarnation = 0;
+  /** Grows while the process runs. */
+  uint64_t mHeartbeat = 0;
+  std::string mPeerAddress;
+  std::string mAvailabilityZone;
+  /** Address for callers; a gateway's only. */
+  std::string mCallerAddress;
+  /** Whether callers may be sent there. */
+  bool mIsServing = false;
+  uint64_t mPublishedRevision = 0;
+  std::optional<EndpointLoad> mLoad;
+};
+
+/** Role names in settings and in the members' words. */
+inline constexpr char kGatewayRole[] = "gateway";
+inline constexpr char kRankAgentRole[] = "rankagent";
+
+}
--- /dev/null
+++ b/src/published/publishedtypes.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "framework/net/tcpsocket.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace beryllever::published {
+
+using std::chrono::milliseconds;
+
+/** What may be repeated of a request on a route. */
+enum class RouteKind
+{
+  Idempotent,
+  NonIdempotent,
+  /** An answer in events; idempotent only where the route is resumable. */
+  Streaming,
+};
+
+/** A pool that takes a share of a route's requests. */
+struct RouteTarget
+{
+  std::string mPool;
+  double mWeight = 1;
+};
+
+/** One row of the published table of routes. */
+struct Route
+{
+  std::string mName;
+  std::string mHost;
+  /** Begins and ends with a slash. */
+  std::string mPrefix;
+  RouteKind mKind = RouteKind::NonIdempotent;
+  milliseconds mTimeout{ 0 };
+  milliseconds mTargetLatency{ 0 };
+  /** Longest pause between two events that is still on time; 0 if unstated. */
+  milliseconds mTargetGap{ 0 };
+  /** 0 is the most urgent. */
+  int mPriority = 0;
+  /** Endpoints that one request may be sent to. */
+  int mMaxAttempts = 1;
+  bool mIsExemptFromKeys = false;
+  bool mIsResumable = false;
+  std::vector<RouteTarget> mTargets;
+
+  bool IsRepeatable() const
+  {
+    return mKind == RouteKind::Idempotent ||
+           (mKind == RouteKind::Streaming && mIsResumable);
+  }
+};
+
+/** Speeds and sizes of the model engines of a pool. */
+struct EngineProfile
+{
+  int mSlots = 1;
+  int64_t mMemoryTokens = 0;
+  int mStepsPerPass = 1;
+  double mStepMilliseconds = 0;
+  double mStepMillisecondsPerSequence = 0;
+  double mStepMillisecondsPerThousandContext = 0;
+  double mPromptTokensPerSecond = 0;
+  int mUsualPromptTokens = 0;
+  int mUsualAnswerTokens = 0;
+  /** Layers whose experts are placed one by one; 0: no experts. */
+  int mExpertLayers = 0;
+  int mExperts = 0;
+  /** Experts that a rank may hold in one layer. */
+  int mPlacesPerRank = 0;
+  /** Experts new to a rank in one layer that one change may bring. */
+  int mSparePerRank = 0;
+  double mExpertMegabytes = 0;
+  double mLinkMegabitsPerSecond = 0;
+  /** Share of a token's work that its experts do, 0 to 1. */
+  double mExpertFraction = 0;
+  milliseconds mGroupFormTime{ 0 };
+};
+
+/** One row of the published table of pools. */
+struct Pool
+{
+  std::string mName;
+  std::string mHealthPath;
+  int mMaxConnections = 0;
+  /** 0: an endpoint of this pool is never cold. */
+  double mColdRequestsPerSecond = 0;
+  std::optional<EngineProfile> mEngine;
+};
+
+/** A customer whose requests carry one of its keys. */
+struct Workspace
+{
+  std::string mName;
+  /** Goes before the route's priority. */
+  std::optional<int> mPriority;
+};
+
+/** What a caller may send, and how long it may take. */
+struct CallerLimits
+{
+  int64_t mHeaderBytes = 16 * 1024;
+  int64_t mBodyBytes = 4 * 1024 * 1024;
+  milliseconds mHeaderTimeout{ 3000 };
+  milliseconds mIdleTimeout{ 15000 };
+};
+
+/** The operators' tables at one version. */
+struct Configuration
+{
+  int64_t mVersion = 0;
+  std::vector<Route> mRoutes;
+  std::map<std::string, Pool> mPools;
+  CallerLimits mLimits;
+  /** Whether requests need a key. */
+  bool mHasWorkspaces = false;
+  std::map<std::string, Workspace> mWorkspacesByKey;
+};
+
+/** Whether an endpoint takes new work. */
+enum class EndpointState
+{
+  Ready,
+  Leaving,
+};
+
+/** One life of a back end, as it has registered itself. */
+struct Endpoint
+{
+  std::string mId;
+  std::string mPool;
+  net::TcpAddress mAddress;
+  std::string mAvailabilityZone;
+  int mSlots = 1;
+  EndpointState mState = EndpointState::Ready;
+  milliseconds mColdRemaining{ 0 };
+  /** Unix milliseconds of its start; tells a restart under the same id. */
+  int64_t mBorn = 0;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+/** Operators have taken this zone out of service. */
+struct OutOfService
+{
+  std::string mAvailabilityZone;
+
+  bool operator==(const OutOfService&) const = default;
+};
+
+/** A published item that names nothing usable. */
+struct Unreadable
+{
+  std::string mReason;
+};
+
+/** A published item that is of no interest here. */
+struct Ignored
+{};
+
+using Item = std::
+  variant<Configuration, Endpoint, OutOfService, Unreadable, Ignored>;
+
+/** One published item as it was written at a revision. */
+struct Record
+{
+  std::string mKey;
+  std::string mData;
+  uint64_t mRevision = 0;
+  bool mIsDeleted = false;
+};
+
+}
--- /dev/null
+++ b/src/rankagent/ienginecodec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "rankagent/ranktypes.h"
+
+#include <optional>
+
+namespace beryllever::rankagent {
+
+/** Translates calls to a model engine. */
+class IEngineCodec
+{
+public:
+  virtual ~IEngineCodec() = default;
+
+  virtual std::string StateTarget() const = 0;
+  virtual std::string CountsTarget() const = 0;
+  virtual std::string OrderTarget() const = 0;
+  /** Nothing if the text is no such answer. */
+  virtual std::optional<RankState> ReadState(const std::string& aBody) const = 0;
+  virtual std::optional<ExpertCounts> ReadCounts(
+    const std::string& aBody) const = 0;
+  virtual std::string WriteOrder(const RankOrder& aOrder) const = 0;
+};
+
+}
--- /dev/null
+++ b/src/rankagent/internal/engineclient.cpp
@@ -0,0 +1,144 @@
+#include "rankagent/internal/engineclient.h"
+
+#include "framework/log/log.h"
+
+namespace beryllever::rankagent {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kLogTag[] = "engine";
+/** The engine is on the same machine; an answer takes a few milliseconds. */
+constexpr milliseconds kReadTime{ 250 };
+/** Time after which an order counts as unanswered and is sent once more. */
+constexpr milliseconds kOrderTime{ 60 };
+/** Largest number of calls that wait. */
+constexpr size_t kMaxCalls = 64;
+
+}
+
+EngineClient::EngineClient(const net::TcpAddress& aEngine,
+                           const IEngineCodec& aCodec)
+  : mEngine(aEngine)
+  , mCodec(aCodec)
+{
+  mTimeout.setSingleShot(true);
+  QObject::connect(
+    &mTimeout, &QTimer::timeout, &mTimeout, [this] { Finish(0); });
+}
+
+EngineClient::~EngineClient()
+{
+  if (mConnection) {
+    mConnection->Abort();
+  }
+}
+
+void
+EngineClient::ReadState(std::function<void(std::optional<RankState>)> aOnState)
+{
+  Enqueue("GET " + mCodec.StateTarget() + " HTTP/1.1",
+          "",
+          kReadTime,
+          [this, aOnState](unsigned aStatus, const std::string& aBody) {
+            aOnState(aStatus == 200 ? mCodec.ReadState(aBody) : std::nullopt);
+          });
+}
+
+void
+EngineClient::ReadCounts(
+  std::function<void(std::optional<ExpertCounts>)> aOnCounts)
+{
+  Enqueue("GET " + mCodec.CountsTarget() + " HTTP/1.1",
+          "",
+          kReadTime,
+          [this, aOnCounts](unsigned aStatus, const std::string& aBody) {
+            aOnCounts(aStatus == 200 ? mCodec.ReadCounts(aBody)
+                                     : std::nullopt);
+          });
+}
+
+void
+EngineClient::Order(const RankOrder& aOrder,
+                    std::function<void(OrderOutcome)> aOnOutcome)
+{
+  Enqueue("POST " + mCodec.OrderTarget() + " HTTP/1.1",
+          mCodec.WriteOrder(aOrder),
+          kOrderTime,
+          [aOnOutcome](unsigned aStatus, const std::string&) {
+            if (aStatus == 0 || aStatus >= 500) {
+              aOnOutcome(OrderOutcome::Unknown);
+              return;
+            }
+            aOnOutcome(aStatus / 100 == 2 ? OrderOutcome::Taken
+                                          : OrderOutcome::Refused);
+          });
+}
+
+void
+EngineClient::Enqueue(const std::string& aStartLine,
+                      const std::string& aBody,
+                      milliseconds aTimeout,
+                      OnAnswer aOnAnswer)
+{
+  if (mCalls.size() >= kMaxCalls) {
+    LOGW("Too many calls to the engine wait; this one is dropped.");
+    aOnAnswer(0, "");
+    return;
+  }
+  net::http::fields fields;
+  fields.set("Host", ToText(mEngine));
+  if (!aBody.empty()) {
+    fields.set("Content-Type", "application/json");
+    fields.set("Content-Length", std::to_string(aBody.size()));
+  }
+  mCalls.push_back(
+    { net::HeadText(aStartLine, fields) + aBody, aTimeout, std::move(aOnAnswer) });
+  StartNext();
+}
+
+void
+EngineClient::StartNext()
+{
+  if (mIsBusy || mCalls.empty()) {
+    return;
+  }
+  mIsBusy = true;
+  mStatus = 0;
+  mBody.clear();
+  if (!mConnection || !mConnection->IsReusable()) {
+    if (mConnection) {
+      mConnection->Abort();
+    }
+    mConnection = net::HttpClientConnection::Connect(mEngine);
+  }
+  mTimeout.start(mCalls.front().mTimeout);
+  mConnection->Send(
+    mCalls.front().mRequest,
+    { .mOnHead =
+        [this](const net::AnswerHead& aHead) { mStatus = aHead.mStatus; },
+      .mOnBody = [this](std::string_view aBytes) { mBody.append(aBytes); },
+      .mOnEnd =
+        [this](net::AnswerEnd aEnd) {
+          Finish(aEnd == net::AnswerEnd::Complete ? mStatus : 0);
+        } });
+}
+
+void
+EngineClient::Finish(unsigned aStatus)
+{
+  mTimeout.stop();
+  if (aStatus == 0 && mConnection) {
+    mConnection->Abort();
+    mConnection.reset();
+  }
+  const Call call = std::move(mCalls.front());
+  mCalls.pop_front();
+  const std::string body = std::move(mBody);
+  mIsBusy = false;
+  call.mOnAnswer(aStatus, body);
+  StartNext();
+}
+
+}
--- /dev/null
+++ b/src/rankagent/internal/engineclient.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "framework/net/httpclientconnection.h"
+#include "rankagent/ienginecodec.h"
+
+#include <QTimer>
+#include <deque>
+
+namespace beryllever::rankagent {
+
+/** What became of an order. */
+enum class OrderOutcome
+{
+  Taken,
+  Refused,
+  /** No answer: it may have been carried out, or may be later. */
+  Unknown,
+};
+
+/** Calls the engine beside this process, one call after the other. */
+class EngineClient
+{
+public:
+  EngineClient(const net::TcpAddress& aEngine, const IEngineCodec& aCodec);
+  ~EngineClient();
+
+  void ReadState(std::function<void(std::optional<RankState>)> aOnState);
+  void ReadCounts(std::function<void(std::optional<ExpertCounts>)> aOnCounts);
+  void Order(const RankOrder& aOrder,
+             std::function<void(OrderOutcome)> aOnOutcome);
+
+private:
+  /** Status 0: no whole answer. */
+  using OnAnswer = std::function<void(unsigned, const std::string&)>;
+
+  struct Call
+  {
+    std::string mRequest;
+    std::chrono::milliseconds mTimeout;
+    OnAnswer mOnAnswer;
+  };
+
+  void Enqueue(const std::string& aStartLine,
+               const std::string& aBody,
+               std::chrono::milliseconds aTimeout,
+               OnAnswer aOnAnswer);
+  void StartNext();
+  void Finish(unsigned aStatus);
+
+  const net::TcpAddress mEngine;
+  const IEngineCodec& mCodec;
+  std::shared_ptr<net::HttpClientConnection> mConnection;
+  std::deque<Call> mCalls;
+  bool mIsBusy = false;
+  unsigned mStatus = 0;
+  std::string mBody;
+  QTimer mTimeout;
+};
+
+}
--- /dev/null
+++ b/src/rankagent/ranktypes.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace beryllever::rankagent {
+
+/** State of one rank of a lock-step group, as its engine reports it. */
+struct RankState
+{
+  std::string mGroup;
+  /** Changes whenever the group forms anew. */
+  uint64_t mEpoch = 0;
+  uint32_t mRank = 0;
+  uint32_t mSize = 0;
+  bool mIsOpen = false;
+  /** Orders that the rank has taken since its start. */
+  uint64_t mSequence = 0;
+  /** Last pass that was begun. */
+  uint64_t mStep = 0;
+  uint64_t mMapVersion = 0;
+  /** Version whose copy is complete, or 0. */
+  uint64_t mPreparedVersion = 0;
+  uint64_t mArmedVersion = 0;
+  uint64_t mArmedStep = 0;
+  /** Pass that the group does not begin, or 0. */
+  uint64_t mHeldStep = 0;
+  /** Requests that run or wait. */
+  int mRequests = 0;
+};
+
+/** How often the requests of a rank chose each expert since its start. */
+struct ExpertCounts
+{
+  uint64_t mStep = 0;
+  uint64_t mEpoch = 0;
+  /** By layer, then by expert. */
+  std::vector<uint64_t> mCounts;
+};
+
+/** Experts by layer, then by rank. */
+using ExpertMap = std::vector<std::vector<std::vector<uint32_t>>>;
+
+/** What a rank may be told to do. */
+enum class RankOperation
+{
+  /** Copy the experts of a map that are new to the rank. */
+  Prepare,
+  /** Switch to a prepared map as a pass begins. */
+  Arm,
+  Disarm,
+  /** Let the group not begin a pass. */
+  Hold,
+  /** Let a held pass begin. */
+  Release,
+};
+
+/** An order to a rank. It is carried out only in the stated epoch and if the
+ * rank has taken exactly the stated number of orders before it. */
+struct RankOrder
+{
+  RankOperation mOperation = RankOperation::Prepare;
+  uint64_t mEpoch = 0;
+  uint64_t mExpectedSequence = 0;
+  uint64_t mVersion = 0;
+  uint64_t mStep = 0;
+  ExpertMap mMap;
+};
+
+}
