Change the experts' map from the agents, by versions and own holds

Cause: with the first map the most loaded rank had 3.3 times the mean load, and a pass lasts as long as its slowest rank. Orders do not raise the sequence that the engines state, so the planned protocol had nothing to stand on. Change: the agent of the lowest rank samples what is chosen, plans within places and spare copies, lets all ranks prepare, and switches them behind a hold at its own rank; prepared versions take the part of fences. The exploration still finds a fault in the protocol; traced next.

--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -19,6 +19,10 @@
     load.set_endpoint_address(aMember.mLoad->mEndpointAddress);
     load.set_requests(aMember.mLoad->mRequests);
     load.set_is_open(aMember.mLoad->mIsOpen);
+    load.set_group(aMember.mLoad->mGroup);
+    load.set_rank(aMember.mLoad->mRank);
+    load.set_group_size(aMember.mLoad->mGroupSize);
+    load.set_may_lead(aMember.mLoad->mMayLead);
   }
 }
 
@@ -37,7 +41,11 @@
   if (aMessage.has_load()) {
     member.mLoad = EndpointLoad{ aMessage.load().endpoint_address(),
                                  aMessage.load().requests(),
-                                 aMessage.load().is_open() };
+                                 aMessage.load().is_open(),
+                                 aMessage.load().group(),
+                                 aMessage.load().rank(),
+                                 aMessage.load().group_size(),
+                                 aMessage.load().may_lead() };
   }
   return member;
 }
--- a/src/mesh/meshtypes.h
+++ b/src/mesh/meshtypes.h
@@ -17,6 +17,12 @@
   std::string mEndpointAddress;
   int mRequests = 0;
   bool mIsOpen = true;
+  /** Lock-step group of the endpoint; empty if it is in none. */
+  std::string mGroup;
+  uint32_t mRank = 0;
+  uint32_t mGroupSize = 0;
+  /** Whether the agent may lead its group. */
+  bool mMayLead = false;
 };
 
 /** One process of the system, in its own words or passed on by others. */
--- a/src/rankagent/internal/engineclient.cpp
+++ b/src/rankagent/internal/engineclient.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kReadTime{ 250 };
 /** Time after which an order counts as unanswered and is sent once more. */
 constexpr milliseconds kOrderTime{ 60 };
+/** Bytes of an answer that are logged. */
+constexpr size_t kLoggedBytes = 120;
 /** Largest number of calls that wait. */
 constexpr size_t kMaxCalls = 64;
 
@@ -59,6 +61,19 @@
           });
 }
 
+void
+EngineClient::ReadPlacement(
+  std::function<void(std::optional<RankPlacement>)> aOnPlacement)
+{
+  Enqueue("GET " + mCodec.PlacementTarget() + " HTTP/1.1",
+          "",
+          kReadTime,
+          [this, aOnPlacement](unsigned aStatus, const std::string& aBody) {
+            aOnPlacement(aStatus == 200 ? mCodec.ReadPlacement(aBody)
+                                        : std::nullopt);
+          });
+}
+
 void
 EngineClient::Order(const RankOrder& aOrder,
                     std::function<void(OrderOutcome)> aOnOutcome)
@@ -66,7 +81,13 @@
   Enqueue("POST " + mCodec.OrderTarget() + " HTTP/1.1",
           mCodec.WriteOrder(aOrder),
           kOrderTime,
-          [aOnOutcome](unsigned aStatus, const std::string&) {
+          [this, aOnOutcome, aOrder](unsigned aStatus,
+                                     const std::string& aBody) {
+            RankOrder brief = aOrder;
+            brief.mMap.clear();
+            LOGI("Order. order=" << mCodec.WriteOrder(brief)
+                                 << " status=" << aStatus << " answer="
+                                 << aBody.substr(0, kLoggedBytes));
             if (aStatus == 0 || aStatus >= 500) {
               aOnOutcome(OrderOutcome::Unknown);
               return;
--- a/src/rankagent/internal/engineclient.h
+++ b/src/rankagent/internal/engineclient.h
@@ -2,20 +2,13 @@
 
 #include "framework/net/httpclientconnection.h"
 #include "rankagent/ienginecodec.h"
+#include "rankagent/mapchange.h"
 
 #include <QTimer>
 #include <deque>
 
 namespace beryllever::rankagent {
 
-/** What became of an order. */
-enum class OrderOutcome
-{
-  Taken,
-  Refused,
-  /** No answer: it may have been carried out, or may be later. */
-  Unknown,
-};
 
 /** Calls the engine beside this process, one call after the other. */
 class EngineClient
@@ -26,6 +19,8 @@
 
   void ReadState(std::function<void(std::optional<RankState>)> aOnState);
   void ReadCounts(std::function<void(std::optional<ExpertCounts>)> aOnCounts);
+  void ReadPlacement(
+    std::function<void(std::optional<RankPlacement>)> aOnPlacement);
   void Order(const RankOrder& aOrder,
              std::function<void(OrderOutcome)> aOnOutcome);
 
--- /dev/null
+++ b/src/rankagent/internal/groupleader.cpp
@@ -0,0 +1,480 @@
+#include "rankagent/internal/groupleader.h"
+
+#include "framework/log/log.h"
+#include "rebalancing/layerplanner.h"
+
+#include <algorithm>
+
+namespace beryllever::rankagent {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr char kLogTag[] = "group";
+constexpr milliseconds kRoundInterval{ 150 };
+/** Weight of the newest window of counts; shifts of demand come every few
+ * seconds and have to be followed within one. */
+constexpr double kNewestWeight = 0.6;
+/** Time after which no order of an earlier life of this process is carried out
+ * any more: the platform's orders come up to 12 s late. */
+constexpr milliseconds kLateOrders{ 13000 };
+/** Longest time that the ranks may take to prepare a map. */
+constexpr milliseconds kPrepareTime{ 3000 };
+/** Time after which a rank that has not prepared a map is told so again; longer
+ * than the copy of all experts that one change may bring. */
+constexpr milliseconds kPrepareAgain{ 600 };
+/** Time for which another lead's hold is left alone. */
+constexpr milliseconds kForeignHold{ 350 };
+/** Passes between the one that runs and the one with the new map: the switch
+ * takes three exchanges of messages, each shorter than a pass. */
+constexpr uint64_t kPassesAhead = 2;
+/** Share of the largest loads that a new map must save. */
+constexpr double kMinGain = 0.04;
+/** Pause after a change that came to nothing. */
+constexpr milliseconds kPauseAfterFailure{ 300 };
+/** Requests' choices below this number tell nothing. */
+constexpr double kMinChoices = 200;
+
+}
+
+GroupLeader::GroupLeader(const global::IClock& aClock,
+                         IGroupPort& aPort,
+                         metrics::Metrics& aMetrics)
+  : mClock(aClock)
+  , mPort(aPort)
+  , mMetrics(aMetrics)
+  , mLeadsFrom(aClock.Now() + kLateOrders)
+{
+  QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
+}
+
+void
+GroupLeader::Start()
+{
+  mTimer.start(kRoundInterval);
+}
+
+void
+GroupLeader::Stop()
+{
+  mTimer.stop();
+}
+
+bool
+GroupLeader::IsLead() const
+{
+  if (!mOwn || mOwn->mGroup.empty() || mOwn->mSize < 2) {
+    return false;
+  }
+  const std::vector<uint32_t> leads = mPort.LiveLeads();
+  const bool isLowest = std::all_of(
+    leads.begin(), leads.end(), [this](uint32_t aRank) {
+      return aRank > mOwn->mRank;
+    });
+  // Where no other can lead, this one at least clears what was left behind.
+  return mMayLead ? isLowest : leads.empty() && IsLowestLive();
+}
+
+bool
+GroupLeader::IsLowestLive() const
+{
+  const std::vector<uint32_t> live = mPort.LiveRanks();
+  return std::all_of(live.begin(), live.end(), [this](uint32_t aRank) {
+    return aRank >= mOwn->mRank;
+  });
+}
+
+void
+GroupLeader::SetRank(const RankState& aState)
+{
+  // Orders of an earlier life of this process may still be carried out, but
+  // not in an epoch that began after it.
+  const bool isNewEpoch = mOwn && mOwn->mEpoch != aState.mEpoch;
+  mMayLead =
+    mMayLead || isNewEpoch || !aState.mIsOpen || mClock.Now() >= mLeadsFrom;
+  mOwn = aState;
+}
+
+void
+GroupLeader::Tick()
+{
+  if (mIsReading || mChange || !IsLead() || !mEngine ||
+      mEngine->mExpertLayers == 0) {
+    return;
+  }
+  BeginRound();
+}
+
+void
+GroupLeader::BeginRound()
+{
+  ++mRound;
+  mIsReading = true;
+  mAwaited = mOwn->mSize;
+  mSamples.assign(mOwn->mSize, std::nullopt);
+  const uint64_t round = mRound;
+  for (uint32_t rank = 0; rank < mOwn->mSize; ++rank) {
+    mPort.Sample(rank, true, [this, round, rank](auto aSample) {
+      TakeSample(round, rank, std::move(aSample));
+    });
+  }
+}
+
+void
+GroupLeader::TakeSample(uint64_t aRound,
+                        size_t aRank,
+                        std::optional<RankSample> aSample)
+{
+  if (aRound != mRound || !mIsReading) {
+    return;
+  }
+  mSamples[aRank] = std::move(aSample);
+  if (--mAwaited == 0) {
+    mIsReading = false;
+    FinishRound();
+  }
+}
+
+void
+GroupLeader::FinishRound()
+{
+  if (!IsConsistent()) {
+    mPreparing = 0;
+    return;
+  }
+  for (const auto& sample : mSamples) {
+    const RankState& state = sample->mState;
+    mHighestVersion = std::max({ mHighestVersion,
+                                 state.mMapVersion,
+                                 state.mPreparedVersion,
+                                 state.mArmedVersion });
+  }
+  TakeCounts();
+  if (HandleHold()) {
+    return;
+  }
+  const bool isArmed =
+    std::any_of(mSamples.begin(), mSamples.end(), [](const auto& aSample) {
+      return aSample->mState.mArmedVersion != 0;
+    });
+  const uint64_t map = mSamples[0]->mState.mMapVersion;
+  const bool isOneMap =
+    std::all_of(mSamples.begin(), mSamples.end(), [&](const auto& aSample) {
+      return aSample->mState.mMapVersion == map;
+    });
+  // Readings on both sides of a switch show two maps; the next ones will not.
+  if (isArmed || !isOneMap) {
+    return;
+  }
+  if (!mMayLead) {
+    return;
+  }
+  if (mPreparing != 0) {
+    ContinuePreparing();
+    return;
+  }
+  Plan();
+}
+
+bool
+GroupLeader::IsConsistent() const
+{
+  const auto& first = mSamples[0];
+  return std::all_of(
+    mSamples.begin(), mSamples.end(), [&](const auto& aSample) {
+      return aSample && first && aSample->mState.mIsOpen &&
+             aSample->mState.mGroup == first->mState.mGroup &&
+             aSample->mState.mEpoch == first->mState.mEpoch;
+    });
+}
+
+void
+GroupLeader::TakeCounts()
+{
+  const size_t layers = static_cast<size_t>(mEngine->mExpertLayers);
+  const size_t experts = static_cast<size_t>(mEngine->mExperts);
+  const uint64_t epoch = mSamples[0]->mState.mEpoch;
+  const bool isFirst =
+    mLastCounts.size() != mSamples.size() || mCountsEpoch != epoch;
+  if (isFirst) {
+    mCountsEpoch = epoch;
+    mLastCounts.assign(mSamples.size(), {});
+    mPopularity.assign(layers, rebalancing::Popularity(experts, kNewestWeight));
+  }
+  std::vector<rebalancing::Loads> windows(layers,
+                                          rebalancing::Loads(experts, 0));
+  double sum = 0;
+  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
+    const std::vector<uint64_t>& counts = mSamples[rank]->mCounts;
+    std::vector<uint64_t>& last = mLastCounts[rank];
+    if (counts.size() != layers * experts) {
+      continue;
+    }
+    for (size_t i = 0; i < counts.size() && last.size() == counts.size(); ++i) {
+      const double chosen =
+        counts[i] >= last[i] ? static_cast<double>(counts[i] - last[i]) : 0;
+      windows[i / experts][i % experts] += chosen;
+      sum += chosen;
+    }
+    last = counts;
+  }
+  if (sum < kMinChoices) {
+    return;
+  }
+  for (size_t layer = 0; layer < layers; ++layer) {
+    mPopularity[layer].TakeWindow(windows[layer]);
+  }
+}
+
+bool
+GroupLeader::HandleHold()
+{
+  // A rank holds one pass at a time, so an own hold is resolved first.
+  uint64_t held = mSamples[mOwn->mRank]->mState.mHeldStep;
+  for (const auto& sample : mSamples) {
+    const uint64_t other = sample->mState.mHeldStep;
+    if (mSamples[mOwn->mRank]->mState.mHeldStep == 0 && other != 0 &&
+        (held == 0 || other < held)) {
+      held = other;
+    }
+  }
+  if (held == 0) {
+    mHeldSince = {};
+    return false;
+  }
+  const auto now = mClock.Now();
+  if (mHeldSince == global::TimePoint{}) {
+    mHeldSince = now;
+  }
+  if (now - mHeldSince >= kForeignHold) {
+    LOGW("A hold that a lead has left is cleared. group="
+         << mOwn->mGroup << " step=" << held);
+    mHeldSince = {};
+    BeginChange(0, held);
+  }
+  return true;
+}
+
+ExpertMap
+GroupLeader::CurrentMap() const
+{
+  const size_t layers = static_cast<size_t>(mEngine->mExpertLayers);
+  ExpertMap map(layers);
+  for (size_t layer = 0; layer < layers; ++layer) {
+    for (const auto& sample : mSamples) {
+      if (sample->mExperts.size() != layers) {
+        return {};
+      }
+      map[layer].push_back(sample->mExperts[layer]);
+    }
+  }
+  return map;
+}
+
+ExpertMap
+GroupLeader::PlanMap(const ExpertMap& aCurrent,
+                     double& aBefore,
+                     double& aAfter) const
+{
+  const rebalancing::LayerPlanner planner(
+    { static_cast<size_t>(mEngine->mPlacesPerRank),
+      static_cast<size_t>(mEngine->mSparePerRank) });
+  ExpertMap planned;
+  for (size_t layer = 0; layer < aCurrent.size(); ++layer) {
+    rebalancing::RankLists lists;
+    for (const auto& experts : aCurrent[layer]) {
+      lists.emplace_back(experts.begin(), experts.end());
+    }
+    const rebalancing::Loads& loads = mPopularity[layer].Smoothed();
+    const rebalancing::RankLists better = planner.Improve(lists, loads);
+    aBefore += rebalancing::LargestLoad(lists, loads);
+    aAfter += rebalancing::LargestLoad(better, loads);
+    planned.emplace_back();
+    for (const auto& experts : better) {
+      planned.back().emplace_back(experts.begin(), experts.end());
+    }
+  }
+  return planned;
+}
+
+uint64_t
+GroupLeader::NextVersion()
+{
+  mHighestVersion = VersionAbove(mHighestVersion, mOwn->mRank);
+  return mHighestVersion;
+}
+
+void
+GroupLeader::Plan()
+{
+  const ExpertMap current = CurrentMap();
+  if (mClock.Now() < mNextPlan || mPopularity.empty() || current.empty()) {
+    return;
+  }
+  double before = 0;
+  double after = 0;
+  const ExpertMap planned = PlanMap(current, before, after);
+  if (before <= 0 || after > before * (1 - kMinGain)) {
+    return;
+  }
+  mPreparing = NextVersion();
+  mPreparingMap = planned;
+  mPrepareDeadline = mClock.Now() + kPrepareTime;
+  mPrepareAgain = mClock.Now() + kPrepareAgain;
+  LOGI("A better expert map is prepared. group="
+       << mOwn->mGroup << " version=" << mPreparing << " epoch="
+       << mSamples[0]->mState.mEpoch << " largestLoadBefore=" << before
+       << " largestLoadAfter=" << after);
+  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
+    SendPrepare(rank);
+  }
+}
+
+void
+GroupLeader::SendPrepare(size_t aRank)
+{
+  const RankState& state = mSamples[aRank]->mState;
+  RankOrder order{ .mOperation = RankOperation::Prepare,
+                   .mEpoch = state.mEpoch,
+                   .mVersion = mPreparing,
+                   .mMap = mPreparingMap };
+  const uint64_t version = mPreparing;
+  mPort.Order(static_cast<uint32_t>(aRank),
+              order,
+              [this, aRank, version](OrderOutcome aOutcome) {
+                if (aOutcome == OrderOutcome::Refused) {
+                  LOGW("Rank does not prepare the map. rank="
+                       << aRank << " version=" << version);
+                }
+              });
+}
+
+void
+GroupLeader::ContinuePreparing()
+{
+  const auto now = mClock.Now();
+  bool isReady = true;
+  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
+    const RankState& state = mSamples[rank]->mState;
+    isReady = isReady && state.mPreparedVersion == mPreparing;
+  }
+  if (isReady) {
+    BeginChange(mPreparing, NextStep());
+    return;
+  }
+  if (now >= mPrepareDeadline) {
+    LOGW("The ranks have not prepared the map in time. version="
+         << mPreparing);
+    mPreparing = 0;
+    return;
+  }
+  const bool isAgain = now >= mPrepareAgain;
+  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
+    const RankState& state = mSamples[rank]->mState;
+    if (state.mPreparedVersion != mPreparing && isAgain) {
+      SendPrepare(rank);
+    }
+  }
+  if (isAgain) {
+    mPrepareAgain = now + kPrepareAgain;
+  }
+}
+
+void
+GroupLeader::BeginChange(uint64_t aVersion, uint64_t aStep)
+{
+  std::vector<RankState> views;
+  for (const auto& sample : mSamples) {
+    views.push_back(sample->mState);
+  }
+  mLastStep = std::max(mLastStep, aStep);
+  ++mChangeId;
+  mChangeBegan = mClock.Now();
+  mChange.emplace(ChangePlan{ .mLead = mOwn->mRank,
+                              .mVersion = aVersion,
+                              .mStep = aStep,
+                              .mSpareVersion = NextVersion() },
+                  std::move(views));
+  Pump();
+}
+
+/** A pass that this lead has never named before and that has not begun. */
+uint64_t
+GroupLeader::NextStep() const
+{
+  uint64_t step = mLastStep;
+  for (const auto& sample : mSamples) {
+    step = std::max(step, sample->mState.mStep + kPassesAhead - 1);
+  }
+  return step + 1;
+}
+
+void
+GroupLeader::Pump()
+{
+  for (const RankCommand& command : mChange->TakeCommands()) {
+    SendCommand(command);
+  }
+  if (mChange->IsOver()) {
+    EndChange();
+  }
+}
+
+void
+GroupLeader::SendCommand(const RankCommand& aCommand)
+{
+  const size_t rank = aCommand.mRank;
+  const uint64_t id = mChangeId;
+  if (aCommand.mIsRead) {
+    mPort.Sample(static_cast<uint32_t>(rank),
+                 false,
+                 [this, id, rank](const std::optional<RankSample>& aSample) {
+                   if (!mChange || id != mChangeId) {
+                     return;
+                   }
+                   mChange->HandleView(
+                     rank, aSample ? std::optional(aSample->mState)
+                                   : std::nullopt);
+                   Pump();
+                 });
+    return;
+  }
+  RankOrder order = aCommand.mOrder;
+  if (order.mOperation == RankOperation::Prepare) {
+    order.mMap = CurrentMap();
+  }
+  mPort.Order(static_cast<uint32_t>(rank),
+              order,
+              [this, id, rank](OrderOutcome aOutcome) {
+                if (!mChange || id != mChangeId) {
+                  return;
+                }
+                mChange->HandleOutcome(rank, aOutcome);
+                Pump();
+              });
+}
+
+void
+GroupLeader::EndChange()
+{
+  const auto took =
+    duration_cast<milliseconds>(mClock.Now() - mChangeBegan).count();
+  const bool isDone = mChange->HasSucceeded();
+  LOGI("Change of the expert map "
+       << (isDone ? "is armed" : "came to nothing")
+       << ". group=" << mOwn->mGroup << " version=" << mPreparing
+       << " milliseconds=" << took);
+  mMetrics.Count("beryllever_map_changes",
+                 { { "outcome", isDone ? "armed" : "failed" } });
+  mMetrics.Sample("beryllever_map_change_milliseconds",
+                  static_cast<double>(took));
+  if (!isDone) {
+    mNextPlan = mClock.Now() + kPauseAfterFailure;
+  }
+  mPreparing = 0;
+  mChange.reset();
+}
+
+}
--- /dev/null
+++ b/src/rankagent/internal/groupleader.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "framework/metrics/metrics.h"
+#include "published/publishedtypes.h"
+#include "rankagent/internal/groupport.h"
+#include "rebalancing/popularity.h"
+
+#include <QTimer>
+
+namespace beryllever::rankagent {
+
+/**
+ * Leads the changes of a group's expert map, in the agent of the lowest live
+ * rank: reads what experts are chosen, plans a better map, lets the ranks
+ * prepare it and switches them. Leads may come and go and two may be at work;
+ * MapChange keeps the ranks on one map all the same.
+ */
+class GroupLeader
+{
+public:
+  GroupLeader(const global::IClock& aClock,
+              IGroupPort& aPort,
+              metrics::Metrics& aMetrics);
+
+  void Start();
+  void Stop();
+  /** Whether this process may begin changes, other than clear old ones. */
+  bool MayLead() const { return mMayLead; }
+  /** What this process knows of its own rank and its engines. */
+  void SetRank(const RankState& aState);
+  void SetEngine(const published::EngineProfile& aEngine)
+  {
+    mEngine = aEngine;
+  }
+
+private:
+  bool IsLead() const;
+  bool IsLowestLive() const;
+  void Tick();
+  void BeginRound();
+  void TakeSample(uint64_t aRound,
+                  size_t aRank,
+                  std::optional<RankSample> aSample);
+  void FinishRound();
+  bool IsConsistent() const;
+  void TakeCounts();
+  bool HandleHold();
+  void ContinuePreparing();
+  void Plan();
+  ExpertMap CurrentMap() const;
+  ExpertMap PlanMap(const ExpertMap& aCurrent,
+                    double& aBefore,
+                    double& aAfter) const;
+  void SendPrepare(size_t aRank);
+  uint64_t NextVersion();
+
+  void BeginChange(uint64_t aVersion, uint64_t aStep);
+  uint64_t NextStep() const;
+  void Pump();
+  void SendCommand(const RankCommand& aCommand);
+  void EndChange();
+
+  const global::IClock& mClock;
+  IGroupPort& mPort;
+  metrics::Metrics& mMetrics;
+  std::optional<RankState> mOwn;
+  global::TimePoint mLeadsFrom;
+  bool mMayLead = false;
+  std::optional<published::EngineProfile> mEngine;
+  QTimer mTimer;
+
+  uint64_t mRound = 0;
+  size_t mAwaited = 0;
+  bool mIsReading = false;
+  std::vector<std::optional<RankSample>> mSamples;
+
+  uint64_t mCountsEpoch = 0;
+  std::vector<std::vector<uint64_t>> mLastCounts;
+  std::vector<rebalancing::Popularity> mPopularity;
+  global::TimePoint mCountsSince{};
+
+  uint64_t mPreparing = 0;
+  ExpertMap mPreparingMap;
+  global::TimePoint mPrepareDeadline{};
+  global::TimePoint mPrepareAgain{};
+  uint64_t mHighestVersion = 0;
+  /** Highest pass that this lead has named. */
+  uint64_t mLastStep = 0;
+  global::TimePoint mHeldSince{};
+  global::TimePoint mNextPlan{};
+
+  std::optional<MapChange> mChange;
+  uint64_t mChangeId = 0;
+  global::TimePoint mChangeBegan{};
+};
+
+}
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -2,6 +2,9 @@
 
 #include "framework/global/identifiers.h"
 #include "framework/log/log.h"
+#include "transport/unary.h"
+
+#include <algorithm>
 
 namespace beryllever::rankagent {
 
@@ -11,6 +14,10 @@
 
 constexpr char kLogTag[] = "rank";
 constexpr milliseconds kReadInterval{ 100 };
+/** Time for another agent to read its rank, on a small share of a core. */
+constexpr milliseconds kSampleTime{ 400 };
+/** Time for another agent to give its rank an order. */
+constexpr milliseconds kOrderTime{ 200 };
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -29,22 +36,23 @@
                    std::shared_ptr<published::IRecordCodec> aRecords,
                    std::shared_ptr<IEngineCodec> aCodec,
                    metrics::Metrics& aMetrics)
-  : mClock(aClock)
-  , mEndpointAddress(aSettings.Site().mEndpointAddress)
+  : mEndpointAddress(aSettings.Site().mEndpointAddress)
   , mRecords(std::move(aRecords))
   , mCodec(std::move(aCodec))
   , mState(*mRecords, aClock)
   , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
   , mEngine(net::ParseTcpAddress(mEndpointAddress), *mCodec)
+  , mLeader(aClock, *this, aMetrics)
+  , mService(std::make_shared<RankService>(&mContext, *this))
 {
   mMesh.SetListener(*this);
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { ReadState(); });
 }
 
-std::shared_ptr<grpc::Service>
-RankNode::MeshService() const
+std::vector<std::shared_ptr<grpc::Service>>
+RankNode::Services() const
 {
-  return mMesh.Service();
+  return { mMesh.Service(), mService };
 }
 
 void
@@ -52,12 +60,14 @@
 {
   mMesh.Start();
   mTimer.start(kReadInterval);
+  mLeader.Start();
 }
 
 void
 RankNode::Stop()
 {
   mTimer.stop();
+  mLeader.Stop();
   mMesh.Stop();
 }
 
@@ -97,6 +107,14 @@
 RankNode::TakeRecords(const mesh::RecordBatch& aBatch)
 {
   mState.TakeChanges(aBatch.mRecords, aBatch.mRevision);
+  const auto snapshot = mState.Current();
+  const net::TcpAddress own = net::ParseTcpAddress(mEndpointAddress);
+  for (const auto& [id, endpoint] : snapshot->AllEndpoints()) {
+    const published::Pool* pool = snapshot->FindPool(endpoint.mPool);
+    if (endpoint.mAddress == own && pool != nullptr && pool->mEngine) {
+      mLeader.SetEngine(*pool->mEngine);
+    }
+  }
 }
 
 void
@@ -106,21 +124,193 @@
     return;
   }
   mIsReading = true;
-  mEngine.ReadState([this](std::optional<RankState> aState) {
+  mEngine.ReadState([this](const std::optional<RankState>& aState) {
     mIsReading = false;
-    if (mRank.has_value() != aState.has_value()) {
-      LOGI("The engine " << (aState ? "answers." : "does not answer."));
+    TakeState(aState);
+  });
+}
+
+void
+RankNode::TakeState(const std::optional<RankState>& aState)
+{
+  if (mRank.has_value() != aState.has_value()) {
+    LOGI("The engine " << (aState ? "answers." : "does not answer."));
+  }
+  mRank = aState;
+  auto& load = mMesh.Members().Self().mLoad;
+  load.reset();
+  if (mRank) {
+    mLeader.SetRank(*mRank);
+    load = mesh::EndpointLoad{ mEndpointAddress, mRank->mRequests,
+                               mRank->mIsOpen,   mRank->mGroup,
+                               mRank->mRank,     mRank->mSize,
+                               mLeader.MayLead() };
+  }
+}
+
+std::vector<mesh::Member>
+RankNode::GroupMembers() const
+{
+  std::vector<mesh::Member> members =
+    mMesh.Members().AliveWithRole(mesh::kRankAgentRole);
+  std::erase_if(members, [this](const mesh::Member& aMember) {
+    return !mRank || !aMember.mLoad || aMember.mLoad->mGroup != mRank->mGroup;
+  });
+  return members;
+}
+
+std::vector<uint32_t>
+RankNode::LiveRanks() const
+{
+  std::vector<uint32_t> ranks;
+  for (const mesh::Member& member : GroupMembers()) {
+    ranks.push_back(member.mLoad->mRank);
+  }
+  return ranks;
+}
+
+std::vector<uint32_t>
+RankNode::LiveLeads() const
+{
+  std::vector<uint32_t> ranks;
+  for (const mesh::Member& member : GroupMembers()) {
+    if (member.mLoad->mMayLead) {
+      ranks.push_back(member.mLoad->mRank);
     }
-    mRank = aState;
-    auto& load = mMesh.Members().Self().mLoad;
-    load.reset();
-    if (mRank) {
-      load = mesh::EndpointLoad{ mEndpointAddress,
-                                 mRank->mRequests,
-                                 mRank->mIsOpen };
+  }
+  return ranks;
+}
+
+std::string
+RankNode::AgentOf(uint32_t aRank) const
+{
+  for (const mesh::Member& member : GroupMembers()) {
+    if (member.mLoad->mRank == aRank) {
+      return member.mPeerAddress;
     }
-  });
-  mEngine.ReadCounts([](std::optional<ExpertCounts>) {});
+  }
+  return "";
+}
+
+void
+RankNode::Sample(uint32_t aRank, bool aWantsCounts, OnSample aOnSample)
+{
+  if (mRank && mRank->mRank == aRank) {
+    SampleOwn(aWantsCounts, std::move(aOnSample));
+    return;
+  }
+  const std::string address = AgentOf(aRank);
+  if (address.empty()) {
+    transport::Post(&mContext, [aOnSample] { aOnSample(std::nullopt); });
+    return;
+  }
+  const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
+    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(address)));
+  mesh::v1::SampleRequest request;
+  request.set_wants_counts(aWantsCounts);
+  transport::CallUnary<mesh::v1::SampleRequest, mesh::v1::SampleReply>(
+    &mContext,
+    std::move(request),
+    std::chrono::system_clock::now() + kSampleTime,
+    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
+      stub->async()->Sample(aContext, aRequest, aReply, std::move(aOnEnd));
+    },
+    [aOnSample](const grpc::Status& aStatus,
+                const mesh::v1::SampleReply& aReply) {
+      aOnSample(aStatus.ok() ? Read(aReply) : std::nullopt);
+    });
+}
+
+void
+RankNode::Order(uint32_t aRank, const RankOrder& aOrder, OnOutcome aOnOutcome)
+{
+  if (mRank && mRank->mRank == aRank) {
+    OrderOwn(aOrder, std::move(aOnOutcome));
+    return;
+  }
+  const std::string address = AgentOf(aRank);
+  if (address.empty()) {
+    transport::Post(&mContext,
+                    [aOnOutcome] { aOnOutcome(OrderOutcome::Unknown); });
+    return;
+  }
+  const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
+    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(address)));
+  mesh::v1::OrderRequest request;
+  Write(aOrder, request);
+  transport::CallUnary<mesh::v1::OrderRequest, mesh::v1::OrderReply>(
+    &mContext,
+    std::move(request),
+    std::chrono::system_clock::now() + kOrderTime,
+    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
+      stub->async()->Order(aContext, aRequest, aReply, std::move(aOnEnd));
+    },
+    [aOnOutcome](const grpc::Status& aStatus,
+                 const mesh::v1::OrderReply& aReply) {
+      if (!aStatus.ok() || (!aReply.is_taken() && !aReply.is_refused())) {
+        aOnOutcome(OrderOutcome::Unknown);
+        return;
+      }
+      aOnOutcome(aReply.is_taken() ? OrderOutcome::Taken
+                                   : OrderOutcome::Refused);
+    });
+}
+
+void
+RankNode::OrderOwn(const RankOrder& aOrder, OnOutcome aOnOutcome)
+{
+  mEngine.Order(aOrder, std::move(aOnOutcome));
+}
+
+void
+RankNode::SampleOwn(bool aWantsCounts, OnSample aOnSample)
+{
+  mEngine.ReadState(
+    [this, aWantsCounts, aOnSample](const std::optional<RankState>& aState) {
+      if (!aState) {
+        aOnSample(std::nullopt);
+        return;
+      }
+      RankSample sample{ .mState = *aState };
+      if (!aWantsCounts) {
+        aOnSample(std::move(sample));
+        return;
+      }
+      mEngine.ReadCounts(
+        [this, sample, aOnSample](
+          const std::optional<ExpertCounts>& aCounts) mutable {
+          if (aCounts && aCounts->mEpoch == sample.mState.mEpoch) {
+            sample.mCounts = aCounts->mCounts;
+          }
+          FinishSample(std::move(sample), aOnSample);
+        });
+    });
+}
+
+void
+RankNode::FinishSample(RankSample aSample, const OnSample& aOnSample)
+{
+  const bool isKnown = mIsPlacementKnown &&
+                       mPlacementEpoch == aSample.mState.mEpoch &&
+                       mPlacement.mVersion == aSample.mState.mMapVersion;
+  if (isKnown) {
+    aSample.mExperts = mPlacement.mExperts;
+    aOnSample(std::move(aSample));
+    return;
+  }
+  mEngine.ReadPlacement(
+    [this, aSample = std::move(aSample), aOnSample](
+      const std::optional<RankPlacement>& aPlacement) mutable {
+      mIsPlacementKnown = aPlacement.has_value();
+      if (aPlacement) {
+        mPlacement = *aPlacement;
+        mPlacementEpoch = aSample.mState.mEpoch;
+      }
+      if (aPlacement && aPlacement->mVersion == aSample.mState.mMapVersion) {
+        aSample.mExperts = aPlacement->mExperts;
+      }
+      aOnSample(std::move(aSample));
+    });
 }
 
 }
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -5,11 +5,16 @@
 #include "mesh/meshnode.h"
 #include "published/publishedstate.h"
 #include "rankagent/internal/engineclient.h"
+#include "rankagent/internal/groupleader.h"
+#include "rankagent/internal/rankservice.h"
 
 namespace beryllever::rankagent {
 
 /** Control state of the process beside one model engine. */
-class RankNode : public mesh::IMeshListener
+class RankNode
+  : public mesh::IMeshListener
+  , public IGroupPort
+  , public IRankOwner
 {
 public:
   RankNode(const global::IClock& aClock,
@@ -18,7 +23,7 @@
            std::shared_ptr<IEngineCodec> aCodec,
            metrics::Metrics& aMetrics);
 
-  std::shared_ptr<grpc::Service> MeshService() const;
+  std::vector<std::shared_ptr<grpc::Service>> Services() const;
   void Start();
   void Stop();
   void Reload(const configuration::IProcessSettings& aSettings);
@@ -30,17 +35,38 @@
   void HandleMembers() override {}
   void HandleLoad(const mesh::EndpointLoad&) override {}
 
+  std::vector<uint32_t> LiveRanks() const override;
+  std::vector<uint32_t> LiveLeads() const override;
+  void Sample(uint32_t aRank, bool aWantsCounts, OnSample aOnSample) override;
+  void Order(uint32_t aRank,
+             const RankOrder& aOrder,
+             OnOutcome aOnOutcome) override;
+
+  void SampleOwn(bool aWantsCounts, OnSample aOnSample) override;
+  void OrderOwn(const RankOrder& aOrder, OnOutcome aOnOutcome) override;
+
 private:
   void ReadState();
+  void TakeState(const std::optional<RankState>& aState);
+  void FinishSample(RankSample aSample, const OnSample& aOnSample);
+  std::string AgentOf(uint32_t aRank) const;
+  /** Other live agents of this rank's group. */
+  std::vector<mesh::Member> GroupMembers() const;
 
-  const global::IClock& mClock;
+  QObject mContext;
   const std::string mEndpointAddress;
   std::shared_ptr<published::IRecordCodec> mRecords;
   std::shared_ptr<IEngineCodec> mCodec;
   published::PublishedState mState;
   mesh::MeshNode mMesh;
   EngineClient mEngine;
+  GroupLeader mLeader;
+  std::shared_ptr<RankService> mService;
   std::optional<RankState> mRank;
+  /** The rank's experts, and the epoch and version that they belong to. */
+  RankPlacement mPlacement;
+  uint64_t mPlacementEpoch = 0;
+  bool mIsPlacementKnown = false;
   bool mIsReading = false;
   QTimer mTimer;
 };
--- /dev/null
+++ b/src/rankagent/internal/rankservice.cpp
@@ -0,0 +1,157 @@
+#include "rankagent/internal/rankservice.h"
+
+#include "transport/post.h"
+
+#include <array>
+
+namespace beryllever::rankagent {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> kOperations{ "prepare",
+                                                       "arm",
+                                                       "disarm",
+                                                       "hold",
+                                                       "release" };
+
+RankOperation
+OperationNamed(std::string_view aName)
+{
+  for (size_t i = 0; i < kOperations.size(); ++i) {
+    if (kOperations[i] == aName) {
+      return static_cast<RankOperation>(i);
+    }
+  }
+  return RankOperation::Disarm;
+}
+
+}
+
+void
+Write(const RankSample& aSample, mesh::v1::SampleReply& aMessage)
+{
+  const RankState& state = aSample.mState;
+  aMessage.set_is_known(true);
+  aMessage.set_group(state.mGroup);
+  aMessage.set_epoch(state.mEpoch);
+  aMessage.set_rank(state.mRank);
+  aMessage.set_size(state.mSize);
+  aMessage.set_is_open(state.mIsOpen);
+  aMessage.set_is_busy(state.mIsBusy);
+  aMessage.set_step(state.mStep);
+  aMessage.set_map_version(state.mMapVersion);
+  aMessage.set_prepared_version(state.mPreparedVersion);
+  aMessage.set_armed_version(state.mArmedVersion);
+  aMessage.set_armed_step(state.mArmedStep);
+  aMessage.set_held_step(state.mHeldStep);
+  aMessage.mutable_counts()->Add(aSample.mCounts.begin(),
+                                 aSample.mCounts.end());
+  for (const auto& experts : aSample.mExperts) {
+    aMessage.add_experts()->mutable_experts()->Add(experts.begin(),
+                                                   experts.end());
+  }
+}
+
+std::optional<RankSample>
+Read(const mesh::v1::SampleReply& aMessage)
+{
+  if (!aMessage.is_known()) {
+    return std::nullopt;
+  }
+  RankSample sample;
+  sample.mState = { .mGroup = aMessage.group(),
+                    .mEpoch = aMessage.epoch(),
+                    .mRank = aMessage.rank(),
+                    .mSize = aMessage.size(),
+                    .mIsOpen = aMessage.is_open(),
+                    .mIsBusy = aMessage.is_busy(),
+                    .mStep = aMessage.step(),
+                    .mMapVersion = aMessage.map_version(),
+                    .mPreparedVersion = aMessage.prepared_version(),
+                    .mArmedVersion = aMessage.armed_version(),
+                    .mArmedStep = aMessage.armed_step(),
+                    .mHeldStep = aMessage.held_step() };
+  sample.mCounts.assign(aMessage.counts().begin(), aMessage.counts().end());
+  for (const auto& experts : aMessage.experts()) {
+    sample.mExperts.emplace_back(experts.experts().begin(),
+                                 experts.experts().end());
+  }
+  return sample;
+}
+
+void
+Write(const RankOrder& aOrder, mesh::v1::OrderRequest& aMessage)
+{
+  aMessage.set_operation(
+    std::string(kOperations[static_cast<size_t>(aOrder.mOperation)]));
+  aMessage.set_epoch(aOrder.mEpoch);
+  aMessage.set_version(aOrder.mVersion);
+  aMessage.set_step(aOrder.mStep);
+  for (const auto& layer : aOrder.mMap) {
+    mesh::v1::Layer& message = *aMessage.add_layers();
+    for (const auto& experts : layer) {
+      message.add_ranks()->mutable_experts()->Add(experts.begin(),
+                                                  experts.end());
+    }
+  }
+}
+
+RankOrder
+Read(const mesh::v1::OrderRequest& aMessage)
+{
+  RankOrder order{ .mOperation = OperationNamed(aMessage.operation()),
+                   .mEpoch = aMessage.epoch(),
+                   .mVersion = aMessage.version(),
+                   .mStep = aMessage.step() };
+  for (const auto& layer : aMessage.layers()) {
+    order.mMap.emplace_back();
+    for (const auto& rank : layer.ranks()) {
+      order.mMap.back().emplace_back(rank.experts().begin(),
+                                     rank.experts().end());
+    }
+  }
+  return order;
+}
+
+RankService::RankService(QObject* aContext, IRankOwner& aOwner)
+  : mContext(aContext)
+  , mOwner(aOwner)
+{
+}
+
+grpc::ServerUnaryReactor*
+RankService::Sample(grpc::CallbackServerContext* aContext,
+                    const mesh::v1::SampleRequest* aRequest,
+                    mesh::v1::SampleReply* aReply)
+{
+  grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
+  transport::Post(mContext, [this, aRequest, aReply, reactor] {
+    mOwner.SampleOwn(aRequest->wants_counts(),
+                     [aReply, reactor](std::optional<RankSample> aSample) {
+                       if (aSample) {
+                         Write(*aSample, *aReply);
+                       }
+                       reactor->Finish(grpc::Status::OK);
+                     });
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+RankService::Order(grpc::CallbackServerContext* aContext,
+                   const mesh::v1::OrderRequest* aRequest,
+                   mesh::v1::OrderReply* aReply)
+{
+  grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
+  transport::Post(mContext, [this, aRequest, aReply, reactor] {
+    mOwner.OrderOwn(
+      Read(*aRequest), [aReply, reactor](OrderOutcome aOutcome) {
+        aReply->set_is_taken(aOutcome == OrderOutcome::Taken);
+        aReply->set_is_refused(aOutcome == OrderOutcome::Refused);
+        reactor->Finish(grpc::Status::OK);
+      });
+  });
+  return reactor;
+}
+
+}
--- a/src/rankagent/rankagentmodule.cpp
+++ b/src/rankagent/rankagentmodule.cpp
@@ -28,7 +28,9 @@
       aKernel.Get<published::IRecordCodec>(),
       aKernel.Get<IEngineCodec>(),
       *aKernel.Get<metrics::Metrics>());
-    aKernel.Get<transport::GrpcServer>()->Add(mNode->MeshService());
+    for (const auto& service : mNode->Services()) {
+      aKernel.Get<transport::GrpcServer>()->Add(service);
+    }
     aKernel.Get<operations::IOperatorPages>()->AddStatus(
       "rank", [this] { return mNode->Status(); });
     mNode->Start();
--- a/src/rankagent/ranktypes.h
+++ b/src/rankagent/ranktypes.h
@@ -15,8 +15,8 @@
   uint32_t mRank = 0;
   uint32_t mSize = 0;
   bool mIsOpen = false;
-  /** Orders that the rank has taken since its start. */
-  uint64_t mSequence = 0;
+  /** Whether an order is being carried out. */
+  bool mIsBusy = false;
   /** Last pass that was begun. */
   uint64_t mStep = 0;
   uint64_t mMapVersion = 0;
@@ -39,6 +39,16 @@
   std::vector<uint64_t> mCounts;
 };
 
+/** Experts of one rank, by layer. */
+using RankExperts = std::vector<std::vector<uint32_t>>;
+
+/** A rank's part of the map in use. */
+struct RankPlacement
+{
+  uint64_t mVersion = 0;
+  RankExperts mExperts;
+};
+
 /** Experts by layer, then by rank. */
 using ExpertMap = std::vector<std::vector<std::vector<uint32_t>>>;
 
@@ -56,13 +66,11 @@
   Release,
 };
 
-/** An order to a rank. It is carried out only in the stated epoch and if the
- * rank has taken exactly the stated number of orders before it. */
+/** An order to a rank. It is carried out only in the stated epoch. */
 struct RankOrder
 {
   RankOperation mOperation = RankOperation::Prepare;
   uint64_t mEpoch = 0;
-  uint64_t mExpectedSequence = 0;
   uint64_t mVersion = 0;
   uint64_t mStep = 0;
   ExpertMap mMap;
--- a/src/rebalancing/popularity.h
+++ b/src/rebalancing/popularity.h
@@ -15,7 +15,7 @@
   const Loads& Smoothed() const { return mSmoothed; }
 
 private:
-  const double mNewWeight;
+  double mNewWeight;
   bool mHasWindow = false;
   Loads mSmoothed;
 };
