Weigh expert moves, follow shifts of demand, lead again soon after a restart

Change: a step must save a share of the load for each copy; windows count little until their distance shows a shift; a lead lets others go only after clearing under its own hold; versions carry the life of the lead and passes its turn; a restarted lead waits until all passes that it may have named have begun.

--- a/benchmarks/stepskew.cpp
+++ b/benchmarks/stepskew.cpp
@@ -159,7 +159,7 @@
 {
   std::mt19937 random(kSeed);
   Placement placement = Placement::RoundRobin(kExperts, aRanks, aSlots);
-  Popularity popularity(kExperts, kNewWeight);
+  Popularity popularity(kExperts);
   std::vector<double> skews;
   size_t moves = 0;
   for (size_t window = 0; window < kWindows; ++window) {
@@ -175,7 +175,7 @@
         seen[i] += tokens[i];
       }
     }
-    popularity.TakeWindow(seen);
+    popularity.TakeWindow(seen, kNewWeight);
   }
   const double mean = std::accumulate(skews.begin(), skews.end(), 0.0) /
                       static_cast<double>(skews.size());
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -1,5 +1,6 @@
 #include "rankagent/internal/groupleader.h"
 
+#include "framework/global/identifiers.h"
 #include "framework/log/log.h"
 #include "rebalancing/layerplanner.h"
 
@@ -16,7 +17,12 @@
 constexpr milliseconds kRoundInterval{ 150 };
 /** Weight of the newest window of counts; shifts of demand come every few
  * seconds and have to be followed within one. */
-constexpr double kNewestWeight = 0.6;
+constexpr double kNewestWeight = 0.15;
+/** Share of a window that goes to other experts than before, above which demand
+ * has shifted; windows of steady demand differ by less than 0.2. */
+constexpr double kShiftDistance = 0.27;
+/** Weight of a window after a shift. */
+constexpr double kShiftWeight = 0.85;
 /** Time after which no order of an earlier life of this process is carried out
  * any more: the platform's orders come up to 12 s late. */
 constexpr milliseconds kLateOrders{ 13000 };
@@ -30,8 +36,15 @@
 /** Passes between the one that runs and the one with the new map: the switch
  * takes three exchanges of messages, each shorter than a pass. */
 constexpr uint64_t kPassesAhead = 2;
+/** Time in which the agents hear which of them may lead. */
+constexpr milliseconds kSettle{ 600 };
+/** Passes beyond the one that runs that a lead may name. */
+constexpr uint64_t kMaxStepsAhead = 16;
 /** Share of the largest loads that a new map must save. */
-constexpr double kMinGain = 0.04;
+constexpr double kMinGain = 0.08;
+/** Share of a layer's largest load that each copied expert must save: a copy
+ * takes memory bandwidth, and demand moves on within seconds. */
+constexpr double kMinGainPerCopy = 0.015;
 /** Pause after a change that came to nothing. */
 constexpr milliseconds kPauseAfterFailure{ 300 };
 /** Requests' choices below this number tell nothing. */
@@ -46,6 +59,7 @@
   , mPort(aPort)
   , mMetrics(aMetrics)
   , mLeadsFrom(aClock.Now() + kLateOrders)
+  , mLife(global::RandomIdentifier())
 {
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
 }
@@ -73,8 +87,11 @@
     leads.begin(), leads.end(), [this](uint32_t aRank) {
       return aRank > mOwn->mRank;
     });
+  if (mMayLead) {
+    return isLowest && mClock.Now() - mMayLeadSince >= kSettle;
+  }
   // Where no other can lead, this one at least clears what was left behind.
-  return mMayLead ? isLowest : leads.empty() && IsLowestLive();
+  return leads.empty() && IsLowestLive();
 }
 
 bool
@@ -90,10 +107,18 @@
 GroupLeader::SetRank(const RankState& aState)
 {
   // Orders of an earlier life of this process may still be carried out, but
-  // not in an epoch that began after it.
+  // not in an epoch that began after it, nor for passes that have begun.
   const bool isNewEpoch = mOwn && mOwn->mEpoch != aState.mEpoch;
-  mMayLead =
-    mMayLead || isNewEpoch || !aState.mIsOpen || mClock.Now() >= mLeadsFrom;
+  if (!mOwn) {
+    mLeadsFromStep = aState.mStep + kMaxStepsAhead + 1;
+  }
+  const bool mayLead = isNewEpoch || !aState.mIsOpen ||
+                       aState.mStep >= mLeadsFromStep ||
+                       mClock.Now() >= mLeadsFrom;
+  if (mayLead && !mMayLead) {
+    mMayLead = true;
+    mMayLeadSince = mClock.Now();
+  }
   mOwn = aState;
 }
 
@@ -201,7 +226,7 @@
   if (isFirst) {
     mCountsEpoch = epoch;
     mLastCounts.assign(mSamples.size(), {});
-    mPopularity.assign(layers, rebalancing::Popularity(experts, kNewestWeight));
+    mPopularity.assign(layers, rebalancing::Popularity(experts));
   }
   std::vector<rebalancing::Loads> windows(layers,
                                           rebalancing::Loads(experts, 0));
@@ -223,23 +248,42 @@
   if (sum < kMinChoices) {
     return;
   }
+  double distance = 0;
   for (size_t layer = 0; layer < layers; ++layer) {
-    mPopularity[layer].TakeWindow(windows[layer]);
+    distance += mPopularity[layer].DistanceTo(windows[layer]) /
+                static_cast<double>(layers);
+  }
+  const bool hasShifted = distance > kShiftDistance;
+  if (hasShifted && !mHasShifted) {
+    LOGI("Demand for experts has shifted. group=" << mOwn->mGroup
+                                                  << " distance=" << distance);
+  }
+  mHasShifted = hasShifted;
+  for (size_t layer = 0; layer < layers; ++layer) {
+    mPopularity[layer].TakeWindow(windows[layer],
+                                  hasShifted ? kShiftWeight : kNewestWeight);
   }
 }
 
-bool
-GroupLeader::HandleHold()
+uint64_t
+GroupLeader::HeldStep() const
 {
   // A rank holds one pass at a time, so an own hold is resolved first.
   uint64_t held = mSamples[mOwn->mRank]->mState.mHeldStep;
+  const bool hasOwn = held != 0;
   for (const auto& sample : mSamples) {
     const uint64_t other = sample->mState.mHeldStep;
-    if (mSamples[mOwn->mRank]->mState.mHeldStep == 0 && other != 0 &&
-        (held == 0 || other < held)) {
+    if (!hasOwn && other != 0 && (held == 0 || other < held)) {
       held = other;
     }
   }
+  return held;
+}
+
+bool
+GroupLeader::HandleHold()
+{
+  const uint64_t held = HeldStep();
   if (held == 0) {
     mHeldSince = {};
     return false;
@@ -248,12 +292,19 @@
   if (mHeldSince == global::TimePoint{}) {
     mHeldSince = now;
   }
-  if (now - mHeldSince >= kForeignHold) {
-    LOGW("A hold that a lead has left is cleared. group="
-         << mOwn->mGroup << " step=" << held);
-    mHeldSince = {};
-    BeginChange(0, held);
-  }
+  const uint64_t own = mSamples[mOwn->mRank]->mState.mHeldStep;
+  // An order of an earlier life of this process may still let its hold go, so
+  // that hold protects nothing; another lead clears it.
+  const bool isEarlierLife =
+    own != 0 && own != mChangeStep && !mMayLead;
+  if (isEarlierLife || now - mHeldSince < kForeignHold) {
+    return true;
+  }
+  LOGW("A hold that a lead has left is cleared. group="
+       << mOwn->mGroup << " step=" << held << " own=" << (own != 0));
+  mHeldSince = {};
+  BeginChange({ .mStep = held,
+                .mIsReleaseOnly = own != 0 && own == mReleasedStep });
   return true;
 }
 
@@ -280,7 +331,8 @@
 {
   const rebalancing::LayerPlanner planner(
     { static_cast<size_t>(mEngine->mPlacesPerRank),
-      static_cast<size_t>(mEngine->mSparePerRank) });
+      static_cast<size_t>(mEngine->mSparePerRank),
+      kMinGainPerCopy });
   ExpertMap planned;
   for (size_t layer = 0; layer < aCurrent.size(); ++layer) {
     rebalancing::RankLists lists;
@@ -302,7 +354,8 @@
 uint64_t
 GroupLeader::NextVersion()
 {
-  mHighestVersion = VersionAbove(mHighestVersion, mOwn->mRank);
+  mHighestVersion =
+    VersionAbove(mHighestVersion, TagFor(mOwn->mRank, mLife));
   return mHighestVersion;
 }
 
@@ -310,7 +363,8 @@
 GroupLeader::Plan()
 {
   const ExpertMap current = CurrentMap();
-  if (mClock.Now() < mNextPlan || mPopularity.empty() || current.empty()) {
+  // The first window of a shift is a mixture of old and new demand.
+  if (mClock.Now() < mNextPlan || mHasShifted || mPopularity.empty() || current.empty()) {
     return;
   }
   double before = 0;
@@ -361,12 +415,16 @@
     isReady = isReady && state.mPreparedVersion == mPreparing;
   }
   if (isReady) {
-    BeginChange(mPreparing, NextStep());
+    const uint64_t step = NextStep();
+    if (step <= mSamples[0]->mState.mStep + kMaxStepsAhead) {
+      BeginChange({ .mVersion = mPreparing, .mStep = step });
+    }
     return;
   }
-  if (now >= mPrepareDeadline) {
-    LOGW("The ranks have not prepared the map in time. version="
-         << mPreparing);
+  const bool isReplaced = mHighestVersion > mPreparing;
+  if (isReplaced || now >= mPrepareDeadline) {
+    LOGW("The map is given up. version=" << mPreparing << " replaced="
+                                         << isReplaced);
     mPreparing = 0;
     return;
   }
@@ -383,24 +441,23 @@
 }
 
 void
-GroupLeader::BeginChange(uint64_t aVersion, uint64_t aStep)
+GroupLeader::BeginChange(ChangePlan aPlan)
 {
   std::vector<RankState> views;
   for (const auto& sample : mSamples) {
     views.push_back(sample->mState);
   }
-  mLastStep = std::max(mLastStep, aStep);
+  aPlan.mLead = mOwn->mRank;
+  aPlan.mTag = TagFor(mOwn->mRank, mLife);
+  aPlan.mSpareVersion = NextVersion();
+  mLastStep = std::max(mLastStep, aPlan.mStep);
+  mChangeStep = aPlan.mStep;
   ++mChangeId;
   mChangeBegan = mClock.Now();
-  mChange.emplace(ChangePlan{ .mLead = mOwn->mRank,
-                              .mVersion = aVersion,
-                              .mStep = aStep,
-                              .mSpareVersion = NextVersion() },
-                  std::move(views));
+  mChange.emplace(aPlan, std::move(views));
   Pump();
 }
 
-/** A pass that this lead has never named before and that has not begun. */
 uint64_t
 GroupLeader::NextStep() const
 {
@@ -408,7 +465,7 @@
   for (const auto& sample : mSamples) {
     step = std::max(step, sample->mState.mStep + kPassesAhead - 1);
   }
-  return step + 1;
+  return StepAbove(step, mOwn->mRank);
 }
 
 void
@@ -462,9 +519,13 @@
   const auto took =
     duration_cast<milliseconds>(mClock.Now() - mChangeBegan).count();
   const bool isDone = mChange->HasSucceeded();
+  if (mChange->HasBegunRelease()) {
+    mReleasedStep = mChangeStep;
+  }
   LOGI("Change of the expert map "
        << (isDone ? "is armed" : "came to nothing")
        << ". group=" << mOwn->mGroup << " version=" << mPreparing
+       << " step=" << mChangeStep << " end=" << mChange->PhaseName()
        << " milliseconds=" << took);
   mMetrics.Count("beryllever_map_changes",
                  { { "outcome", isDone ? "armed" : "failed" } });
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -55,7 +55,9 @@
   void SendPrepare(size_t aRank);
   uint64_t NextVersion();
 
-  void BeginChange(uint64_t aVersion, uint64_t aStep);
+  uint64_t HeldStep() const;
+  void BeginChange(ChangePlan aPlan);
+  /** A pass that this lead has never named before and that has not begun. */
   uint64_t NextStep() const;
   void Pump();
   void SendCommand(const RankCommand& aCommand);
@@ -66,7 +68,11 @@
   metrics::Metrics& mMetrics;
   std::optional<RankState> mOwn;
   global::TimePoint mLeadsFrom;
+  uint64_t mLeadsFromStep = 0;
+  /** Tells this life of the process from others. */
+  const uint64_t mLife;
   bool mMayLead = false;
+  global::TimePoint mMayLeadSince{};
   std::optional<published::EngineProfile> mEngine;
   QTimer mTimer;
 
@@ -78,7 +84,7 @@
   uint64_t mCountsEpoch = 0;
   std::vector<std::vector<uint64_t>> mLastCounts;
   std::vector<rebalancing::Popularity> mPopularity;
-  global::TimePoint mCountsSince{};
+  bool mHasShifted = false;
 
   uint64_t mPreparing = 0;
   ExpertMap mPreparingMap;
@@ -87,6 +93,9 @@
   uint64_t mHighestVersion = 0;
   /** Highest pass that this lead has named. */
   uint64_t mLastStep = 0;
+  uint64_t mChangeStep = 0;
+  /** Pass that this lead has let go, or may have. */
+  uint64_t mReleasedStep = 0;
   global::TimePoint mHeldSince{};
   global::TimePoint mNextPlan{};
 
--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -10,15 +10,35 @@
 
 /** Times that a rank is tried in one phase. */
 constexpr int kMaxTries = 12;
-/** Leads whose versions never meet; more than a group has ranks. */
-constexpr uint64_t kLeads = 1024;
+/** Most ranks of a group. */
+constexpr uint64_t kMaxRanks = 1024;
+/** Lives of the lead beside a rank that are told apart. */
+constexpr uint64_t kLives = 16384;
+/** Leads whose passes never meet. A lead waits for its turn in passes, so there
+ * are few; only ranks this far apart would have to lead at the same time. */
+constexpr uint64_t kStepTurns = 4;
 
 }
 
 uint64_t
-VersionAbove(uint64_t aHighest, size_t aLead)
+TagFor(size_t aRank, uint64_t aRandom)
 {
-  return (aHighest / kLeads + 1) * kLeads + aLead;
+  return aRandom % kLives * kMaxRanks + aRank;
+}
+
+uint64_t
+VersionAbove(uint64_t aHighest, uint64_t aTag)
+{
+  constexpr uint64_t kTags = kMaxRanks * kLives;
+  return (aHighest / kTags + 1) * kTags + aTag;
+}
+
+uint64_t
+StepAbove(uint64_t aHighest, size_t aLead)
+{
+  const uint64_t turn = aLead % kStepTurns;
+  const uint64_t step = aHighest / kStepTurns * kStepTurns + turn;
+  return step > aHighest ? step : step + kStepTurns;
 }
 
 MapChange::MapChange(const ChangePlan& aPlan, std::vector<RankState> aViews)
@@ -26,12 +46,10 @@
   , mViews(std::move(aViews))
   , mProgress(mViews.size())
 {
-  for (size_t rank = 0; rank < mViews.size(); ++rank) {
-    mProgress[rank].mIsHeld = mViews[rank].mHeldStep == mPlan.mStep;
-  }
-  const bool isHeldHere = mProgress[mPlan.mLead].mIsHeld;
-  if (mPlan.mVersion == 0 && IsArmedAlike()) {
-    // The other lead's switch is complete but for the release.
+  const bool isHeldHere = mViews[mPlan.mLead].mHeldStep == mPlan.mStep;
+  if (mPlan.mIsReleaseOnly) {
+    mHasFailedToArm = true;
+    mProgress[mPlan.mLead].mIsHeld = true;
     BeginPhase(Phase::Release);
     return;
   }
@@ -55,20 +73,11 @@
          mPhase == Phase::Failed;
 }
 
-bool
-MapChange::IsArmedAlike() const
-{
-  return std::all_of(
-    mViews.begin(), mViews.end(), [this](const RankState& aView) {
-      return aView.mArmedVersion != 0 && aView.mArmedStep == mPlan.mStep &&
-             aView.mArmedVersion == mViews[0].mArmedVersion;
-    });
-}
-
 void
 MapChange::BeginPhase(Phase aPhase)
 {
   mPhase = aPhase;
+  mHasBegunRelease = mHasBegunRelease || aPhase == Phase::Release;
   for (size_t rank = 0; rank < mProgress.size(); ++rank) {
     Progress& progress = mProgress[rank];
     progress.mTries = 0;
@@ -230,16 +239,21 @@
 MapChange::IsCleared(const RankState& aView)
 {
   if (aView.mArmedVersion != 0) {
-    // Armed for another pass, which another lead holds.
-    return aView.mArmedStep != mPlan.mStep;
+    // Armed by another lead, for a pass that it holds.
+    return mPlan.mVersion != 0 ? aView.mArmedVersion != mPlan.mVersion
+                               : aView.mArmedStep != mPlan.mStep;
   }
-  return aView.mPreparedVersion == mPlan.mSpareVersion;
+  // Versions only grow, so one that has been replaced cannot be armed.
+  return mPlan.mVersion != 0 ? aView.mPreparedVersion != mPlan.mVersion
+                             : aView.mPreparedVersion == mPlan.mSpareVersion;
 }
 
 void
 MapChange::HandleClearView(size_t aRank, const RankState& aView)
 {
-  mProgress[aRank].mIsHeld = aView.mHeldStep == mPlan.mStep;
+  const bool isOwn = aRank == mPlan.mLead;
+  mProgress[aRank].mIsHeld =
+    aView.mHeldStep == mPlan.mStep && (isOwn || mPlan.mVersion == 0);
   if (IsCleared(aView)) {
     Resolve(aRank);
     return;
@@ -249,7 +263,7 @@
     return;
   }
   if (aView.mPreparedVersion > mPlan.mSpareVersion) {
-    mPlan.mSpareVersion = VersionAbove(aView.mPreparedVersion, mPlan.mLead);
+    mPlan.mSpareVersion = VersionAbove(aView.mPreparedVersion, mPlan.mTag);
   }
   Order(aRank, RankOperation::Prepare, mPlan.mSpareVersion);
 }
--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -22,11 +22,16 @@
 {
   /** Rank beside which the lead runs; the only one that it holds. */
   size_t mLead = 0;
+  /** Tag of this life of the lead. */
+  uint64_t mTag = 0;
   /** Map that all ranks have prepared; 0 to only clear what another lead has
    * left behind at mStep. */
   uint64_t mVersion = 0;
   /** Pass from which the map is used, or that is held. */
   uint64_t mStep = 0;
+  /** This lead has let the pass go before and still holds it: the order to let
+   * it go, or an order to hold it, came late. */
+  bool mIsReleaseOnly = false;
   /** Version that takes the place of a prepared one that is not to be used. */
   uint64_t mSpareVersion = 0;
 };
@@ -41,9 +46,18 @@
   RankOrder mOrder;
 };
 
-/** The next map version of a lead; no two leads use the same. */
+/** Tag of one life of the lead beside a rank, from a random number. */
 uint64_t
-VersionAbove(uint64_t aHighest, size_t aLead);
+TagFor(size_t aRank, uint64_t aRandom);
+
+/** The next map version of a lead; no two lives of leads use the same. */
+uint64_t
+VersionAbove(uint64_t aHighest, uint64_t aTag);
+
+/** The next pass that a lead may name; leads that are near in rank never name
+ * the same. */
+uint64_t
+StepAbove(uint64_t aHighest, size_t aLead);
 
 /**
  * Switches the ranks of a group to a prepared map, or clears a switch that
@@ -55,8 +69,9 @@
  *   begin only once all ranks are armed alike, or none is and none can be.
  * - A rank arms only the version that it has prepared, and versions only grow.
  *   Preparing another one voids every outstanding order to arm the old one.
- * - A lead holds only its own rank, so no other lead can begin a pass while it
- *   clears; and a pass that has begun voids all orders that name it.
+ * - A lead holds only its own rank. It lets another rank go only after it has
+ *   cleared all ranks under a hold of its own, so no other lead can begin a
+ *   pass while one clears. A pass that has begun voids all orders that name it.
  *
  * Whether an order was carried out is read from the rank, never inferred.
  * Pure: answers in, commands out.
@@ -75,6 +90,8 @@
   bool IsOver() const;
   /** Whether the new map is armed at all ranks and the lead holds nothing. */
   bool HasSucceeded() const { return mPhase == Phase::Succeeded; }
+  /** Whether an order to let the pass go may be on its way. */
+  bool HasBegunRelease() const { return mHasBegunRelease; }
   std::string_view PhaseName() const;
   /** Equal text means equal state. */
   std::string Fingerprint() const;
@@ -106,7 +123,6 @@
   void Read(size_t aRank);
   void Resolve(size_t aRank);
   void FinishPhase();
-  bool IsArmedAlike() const;
   bool IsCleared(const RankState& aView);
   void HandleHoldView(const RankState& aView);
   void HandleArmView(size_t aRank, const RankState& aView);
@@ -119,6 +135,7 @@
   std::vector<RankCommand> mCommands;
   Phase mPhase = Phase::Hold;
   bool mHasFailedToArm = false;
+  bool mHasBegunRelease = false;
 };
 
 }
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -28,7 +28,7 @@
 struct Limits
 {
   size_t mRanks = 2;
-  uint64_t mLastStep = 1;
+  uint64_t mLastStep = 4;
   /** Orders that may be carried out late, over the whole run. */
   int mLate = 1;
   /** Orders whose answer may be lost, over the whole run. */
@@ -47,6 +47,9 @@
   bool mHasBegun = false;
   bool mIsDead = false;
   uint64_t mLastStep = 0;
+  uint64_t mPassOfChange = 0;
+  /** Pass that it has let go. */
+  uint64_t mReleasedStep = 0;
 };
 
 struct World
@@ -90,7 +93,8 @@
     text << TextOf(rank);
   }
   for (const Lead& lead : aWorld.mLeads) {
-    text << '#' << lead.mHasBegun << lead.mIsDead << lead.mLastStep;
+    text << '#' << lead.mHasBegun << lead.mIsDead << lead.mLastStep
+         << lead.mReleasedStep;
     for (const RankState& read : lead.mReads) {
       text << TextOf(read) << read.mStep;
     }
@@ -174,9 +178,12 @@
     first.mLateLeft = mLimits.mLate;
     first.mLostLeft = mLimits.mLost;
     first.mDeathsLeft = mLimits.mDeaths;
+    // The first pass that the first lead may name is the next one.
+    first.mStep = StepAbove(0, 0) - 1;
     // The first lead's map is prepared at all ranks.
     for (RankState& rank : first.mRanks) {
       rank.mPreparedVersion = VersionAbove(0, 0);
+      rank.mStep = first.mStep;
     }
     Push(std::move(first));
     while (!mQueue.empty() && !mIsViolated) {
@@ -257,7 +264,11 @@
     }
     if (lead.mOutstanding.empty() && lead.mChange->IsOver()) {
       World world = aWorld;
-      world.mLeads[aLead].mChange.reset();
+      Lead& done = world.mLeads[aLead];
+      if (done.mChange->HasBegunRelease()) {
+        done.mReleasedStep = done.mPassOfChange;
+      }
+      done.mChange.reset();
       Push(std::move(world));
     }
   }
@@ -275,14 +286,10 @@
     const std::vector<RankState> reads = std::exchange(lead.mReads, {});
     const uint64_t own = reads[aLead].mHeldStep;
     uint64_t held = own;
-    for (const RankState& read : reads) {
-      if (own == 0 && read.mHeldStep != 0) {
-        held = read.mHeldStep;
-      }
-    }
     uint64_t highest = 0;
     bool isPrepared = true;
     for (const RankState& read : reads) {
+      held = held == 0 ? read.mHeldStep : held;
       highest =
         std::max({ highest, read.mMapVersion, read.mPreparedVersion });
       isPrepared = isPrepared &&
@@ -290,18 +297,22 @@
                    read.mArmedVersion == 0;
     }
     ChangePlan plan{ .mLead = aLead,
+                     .mTag = aLead,
                      .mSpareVersion = VersionAbove(highest, aLead) };
     if (held != 0) {
       plan.mStep = held;
+      plan.mIsReleaseOnly = own != 0 && own == lead.mReleasedStep;
     } else if (isPrepared && !lead.mHasBegun) {
       plan.mVersion = VersionAbove(0, aLead);
-      plan.mStep = std::max(reads[aLead].mStep, lead.mLastStep) + 1;
+      plan.mStep =
+        StepAbove(std::max(reads[aLead].mStep, lead.mLastStep), aLead);
       lead.mHasBegun = true;
     } else {
       Push(std::move(world));
       return;
     }
-    lead.mLastStep = plan.mStep;
+    lead.mLastStep = std::max(lead.mLastStep, plan.mStep);
+    lead.mPassOfChange = plan.mStep;
     lead.mChange.emplace(plan, reads);
     Collect(world, aLead);
     Push(std::move(world));
@@ -392,7 +403,7 @@
 
 TEST(MapChange, NoPassSeesTwoMapsWithTwoRanks)
 {
-  Explorer explorer({ .mRanks = 2, .mLastStep = 2, .mLate = 1, .mLost = 1 });
+  Explorer explorer({ .mRanks = 2, .mLastStep = 5, .mLate = 1, .mLost = 1 });
   CHECK(explorer.Run());
   CHECK(explorer.Switched() > 0);
   CHECK(explorer.States() > 10000);
@@ -401,7 +412,7 @@
 TEST(MapChange, NoPassSeesTwoMapsWithTwoLateOrders)
 {
   Explorer explorer(
-    { .mRanks = 2, .mLastStep = 1, .mLate = 2, .mLost = 0, .mDeaths = 1 });
+    { .mRanks = 2, .mLastStep = 4, .mLate = 2, .mLost = 0, .mDeaths = 1 });
   CHECK(explorer.Run());
   CHECK(explorer.Switched() > 0);
 }
@@ -409,7 +420,7 @@
 TEST(MapChange, NoPassSeesTwoMapsWithThreeRanks)
 {
   Explorer explorer(
-    { .mRanks = 3, .mLastStep = 1, .mLate = 1, .mLost = 0, .mDeaths = 1 });
+    { .mRanks = 3, .mLastStep = 4, .mLate = 1, .mLost = 0, .mDeaths = 1 });
   CHECK(explorer.Run());
   CHECK(explorer.Switched() > 0);
 }
--- a/src/rebalancing/internal/layerplanner.cpp
+++ b/src/rebalancing/internal/layerplanner.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/** Gain, as a share of the largest load, below which a step is not worth its
- * bytes. */
-constexpr double kMinGain = 0.002;
+/** What a step counts that needs no copy. */
+constexpr double kFreeStep = 0.25;
 /** Ranks, the least loaded first, that are tried as targets. */
 constexpr size_t kTargets = 12;
 
@@ -85,7 +84,7 @@
       std::max_element(mRankLoads.begin(), mRankLoads.end()) -
       mRankLoads.begin());
     mBefore = mRankLoads[hottest];
-    mBestLoad = mBefore * (1 - kMinGain);
+    mBestGain = mBefore * mLimits.mMinGain;
     mBest.reset();
     for (const Rank target : CoolRanks(hottest)) {
       for (const Expert expert : mLists[hottest]) {
@@ -139,7 +138,17 @@
     }
   }
 
-  /** Largest load among the ranks that the step changes. */
+  /** Experts that ranks have to copy for a step. */
+  double Copies(Rank aHottest, const Step& aStep) const
+  {
+    double copies = Contains(mCurrent[aStep.mTarget], aStep.mExpert) ? 0 : 1;
+    if (aStep.mIsSwap && !Contains(mCurrent[aHottest], *aStep.mDropped)) {
+      copies += 1;
+    }
+    return copies;
+  }
+
+  /** Weighs the largest load among the ranks that the step changes. */
   void TryStep(Rank aHottest, const Step& aStep)
   {
     const size_t holders = mHolders[aStep.mExpert].size();
@@ -168,8 +177,9 @@
       }
     }
     worst = std::max({ worst, hot, target });
-    if (worst < mBestLoad) {
-      mBestLoad = worst;
+    const double gain = (mBefore - worst) / std::max(kFreeStep, Copies(aHottest, aStep));
+    if (gain > mBestGain) {
+      mBestGain = gain;
       mBest = aStep;
     }
   }
@@ -211,7 +221,8 @@
   std::vector<double> mRankLoads;
   std::vector<size_t> mNew;
   double mBefore = 0;
-  double mBestLoad = 0;
+  /** Load saved for each expert copied. */
+  double mBestGain = 0;
   std::optional<Step> mBest;
 };
 
--- a/src/rebalancing/layerplanner.h
+++ b/src/rebalancing/layerplanner.h
@@ -14,6 +14,8 @@
   size_t mPlacesPerRank = 0;
   /** Experts that a rank may hold in the new placement and not in the old. */
   size_t mNewPerRank = 0;
+  /** Share of the largest load that each copied expert must save. */
+  double mMinGain = 0.002;
 };
 
 /** Load of the most loaded rank, with an expert's load shared evenly by the
--- a/src/rebalancing/popularity.h
+++ b/src/rebalancing/popularity.h
@@ -8,14 +8,16 @@
 class Popularity
 {
 public:
-  /** The weight of a new window is between 0 and 1. */
-  Popularity(size_t aExperts, double aNewWeight);
+  explicit Popularity(size_t aExperts);
 
-  void TakeWindow(const Loads& aTokens);
+  /** The weight of the window is between 0 and 1; the first counts whole. */
+  void TakeWindow(const Loads& aTokens, double aWeight);
+  /** Share of a window that goes elsewhere than the smoothed load: 0 if both
+   * are alike, 1 if they share no expert. */
+  double DistanceTo(const Loads& aTokens) const;
   const Loads& Smoothed() const { return mSmoothed; }
 
 private:
-  double mNewWeight;
   bool mHasWindow = false;
   Loads mSmoothed;
 };
