End the intake of a leaving gateway well before its grace time

Change: after the directory's time to live, at most 0.4 of the grace time, the listener and idle connections close; the process ends with its last request.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -18,11 +18,12 @@
 constexpr size_t kMaxAddresses = 64;
 /** Time beyond the directory's time to live in which callers that kept an
  * answer still come to a leaving gateway. */
-constexpr milliseconds kLeavingSlack{ 1000 };
-/** Answers that some callers keep longer than they were told. */
-constexpr int kKeptFactor = 2;
+constexpr milliseconds kLeavingSlack{ 700 };
+/** Share of the grace time after which no more requests are taken, so that the
+ * last ones can run to their end. */
+constexpr double kIntakeShare = 0.4;
 /** Part of the grace time that is left for the end of the process. */
-constexpr milliseconds kGraceReserve{ 500 };
+constexpr milliseconds kGraceReserve{ 300 };
 /** Gateways that are assumed to share bounds before the peers are known. */
 constexpr int kMinGateways = 8;
 
@@ -119,8 +120,10 @@
   mIsLeaving = true;
   const auto now = mClock.Now();
   mLatestEnd = now + mSite.mGrace - kGraceReserve;
-  mEarliestEnd =
-    std::min(now + kKeptFactor * mSite.mTimeToLive + kLeavingSlack, mLatestEnd);
+  const auto longest = std::chrono::duration_cast<milliseconds>(
+    mSite.mGrace * kIntakeShare);
+  mIntakeEnd =
+    now + std::min<milliseconds>(mSite.mTimeToLive + kLeavingSlack, longest);
   UpdateServing();
   mMesh.Announce();
   mTraffic.BeginLeaving();
@@ -133,7 +136,7 @@
   if (now >= mLatestEnd) {
     return true;
   }
-  return now >= mEarliestEnd && mTraffic.OpenRequests() == 0;
+  return mHasEndedIntake && mTraffic.OpenRequests() == 0;
 }
 
 void
@@ -296,6 +299,10 @@
   if (mState.ExpireRemovals()) {
     Publish();
   }
+  if (mIsLeaving && !mHasEndedIntake && mClock.Now() >= mIntakeEnd) {
+    mTraffic.EndIntake();
+    mHasEndedIntake = true;
+  }
 }
 
 }
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -80,7 +80,8 @@
   QTimer mTimer;
   bool mIsStoreReachable = false;
   bool mIsLeaving = false;
-  global::TimePoint mEarliestEnd{};
+  bool mHasEndedIntake = false;
+  global::TimePoint mIntakeEnd{};
   global::TimePoint mLatestEnd{};
 };
 
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -120,6 +120,23 @@
   mTraffic.mIsLeaving = true;
 }
 
+void
+TrafficCore::EndIntake()
+{
+  mListener.Close();
+  std::vector<std::shared_ptr<net::HttpServerConnection>> idle;
+  for (const auto& [id, caller] : mCallers) {
+    if (!caller.mExchange) {
+      idle.push_back(caller.mConnection);
+    }
+  }
+  for (const auto& connection : idle) {
+    connection->Close();
+  }
+  LOGI("No more requests are taken. idleConnections="
+       << idle.size() << " openRequests=" << mOpenRequests);
+}
+
 void
 TrafficCore::TakeLoad(const net::TcpAddress& aEndpoint,
                       int aRequests,
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -21,6 +21,7 @@
 
   bool Listen(const net::TcpAddress& aAddress);
   void BeginLeaving();
+  void EndIntake();
   void TakeLoad(const net::TcpAddress& aEndpoint, int aRequests, bool aIsOpen);
   Traffic& State() { return mTraffic; }
 
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -77,6 +77,12 @@
   });
 }
 
+void
+TrafficServer::EndIntake()
+{
+  transport::Post(&mContext, [this] { mCore->EndIntake(); });
+}
+
 void
 TrafficServer::BeginLeaving()
 {
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -41,6 +41,8 @@
   void TakeLoad(const net::TcpAddress& aEndpoint, int aRequests, bool aIsOpen);
   /** Answers from now on tell callers to close their connections. */
   void BeginLeaving();
+  /** Takes no more requests; those that are here run to their end. */
+  void EndIntake();
   /** Requests without a complete answer. */
   int OpenRequests() const { return mOpenRequests; }
 
