--- /dev/null
+++ b/src/gateway/tests/endpointledgertest.cpp
@@ -0,0 +1,141 @@
+#include "gateway/endpointledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever;
+using namespace beryllever::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+published::Endpoint
+EndpointNamed(const std::string& aId, const std::string& aZone = "a")
+{
+  return { .mId = aId,
+           .mPool = "engines",
+           .mAddress = { "127.0.0.1", 1 },
+           .mAvailabilityZone = aZone,
+           .mSlots = 4 };
+}
+
+std::shared_ptr<published::Snapshot>
+SnapshotOf(const std::vector<published::Endpoint>& aEndpoints,
+           std::set<std::string> aOutZones = {})
+{
+  auto configuration = std::make_shared<published::Configuration>();
+  configuration->mPools["engines"] = { .mName = "engines",
+                                       .mColdRequestsPerSecond = 38 };
+  published::Snapshot::Endpoints endpoints;
+  for (const auto& endpoint : aEndpoints) {
+    endpoints[endpoint.mId] = endpoint;
+  }
+  return std::make_shared<published::Snapshot>(
+    configuration, endpoints, std::move(aOutZones), 1);
+}
+
+}
+
+TEST_GROUP(EndpointLedger)
+{
+  global::ManualClock mClock;
+  EndpointLedger mLedger{ mClock, 1 };
+  PlacementWish mWish{ "engines", "a", {} };
+};
+
+TEST(EndpointLedger, KeepsItsShareOfTheColdBoundInEverySecond)
+{
+  // All gateways together may send 38 * 1.5 + 5 = 62 requests a second.
+  constexpr int kGateways = 8;
+  mLedger.SetBounds({ kGateways, 1.5, 5 });
+  const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
+  std::deque<global::TimePoint> sends;
+  for (int i = 0; i < 5000; ++i) {
+    if (mLedger.Choose(*snapshot, mWish).mChoice == Choice::Chosen) {
+      mLedger.NoteSent("cold");
+      mLedger.NoteEnded("cold", EndpointOutcome::Good);
+      sends.push_back(mClock.Now());
+    }
+    while (!sends.empty() &&
+           sends.front() <= mClock.Now() - std::chrono::seconds(1)) {
+      sends.pop_front();
+    }
+    CHECK(static_cast<int>(sends.size()) * kGateways <= 62);
+    mClock.Advance(milliseconds(3));
+  }
+}
+
+TEST(EndpointLedger, KeepsTheColdBoundWhereAShareIsBelowOneRequest)
+{
+  constexpr int kGateways = 390;
+  mLedger.SetBounds({ kGateways, 1.5, 5 });
+  const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
+  int sent = 0;
+  constexpr int kSeconds = 60;
+  for (int i = 0; i < kSeconds * 100; ++i) {
+    if (mLedger.Choose(*snapshot, mWish).mChoice == Choice::Chosen) {
+      mLedger.NoteSent("cold");
+      mLedger.NoteEnded("cold", EndpointOutcome::Good);
+      ++sent;
+    }
+    mClock.Advance(milliseconds(10));
+  }
+  CHECK(sent >= 1);
+  CHECK(sent * kGateways <= 62 * kSeconds);
+}
+
+TEST(EndpointLedger, UsesNoEndpointThatIsOutOfService)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("x", "a"), EndpointNamed("y", "b") }, { "a" });
+
+  const Placement placement = mLedger.Choose(*snapshot, mWish);
+
+  CHECK(placement.mChoice == Choice::Chosen);
+  STRCMP_EQUAL("y", placement.mEndpoint->mId.c_str());
+}
+
+TEST(EndpointLedger, UsesNoEndpointThatIsLeaving)
+{
+  published::Endpoint leaving = EndpointNamed("x");
+  leaving.mState = published::EndpointState::Leaving;
+
+  CHECK(mLedger.Choose(*SnapshotOf({ leaving }), mWish).mChoice ==
+        Choice::None);
+}
+
+TEST(EndpointLedger, GoesWhereTheReportsShowRoom)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("busy"), EndpointNamed("free", "b") });
+  mLedger.TakeReport("busy", { 4, true, mClock.Now() });
+  mLedger.TakeReport("free", { 1, true, mClock.Now() });
+
+  STRCMP_EQUAL("free",
+               mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
+}
+
+TEST(EndpointLedger, TrustsNoOldReport)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("x") });
+  mLedger.TakeReport("x", { 100, false, mClock.Now() });
+  CHECK(mLedger.Choose(*snapshot, mWish).mChoice == Choice::Full);
+
+  mClock.Advance(std::chrono::seconds(2));
+
+  CHECK(mLedger.Choose(*snapshot, mWish).mChoice == Choice::Chosen);
+}
+
+TEST(EndpointLedger, AvoidsAnEndpointThatFailsAndComesBackToIt)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("x"), EndpointNamed("y", "b") });
+  for (int i = 0; i < 3; ++i) {
+    mLedger.NoteSent("x");
+    mLedger.NoteEnded("x", EndpointOutcome::Failed);
+  }
+  STRCMP_EQUAL("y", mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
+
+  mClock.Advance(std::chrono::seconds(20));
+
+  STRCMP_EQUAL("x", mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
+}
--- /dev/null
+++ b/src/mesh/tests/membertabletest.cpp
@@ -0,0 +1,75 @@
+#include "mesh/membertable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever;
+using namespace beryllever::mesh;
+
+namespace {
+
+Member
+MemberNamed(const std::string& aVm, uint64_t aIncarnation, uint64_t aHeartbeat)
+{
+  return { .mVm = aVm,
+           .mRole = kGatewayRole,
+           .mIncarnation = aIncarnation,
+           .mHeartbeat = aHeartbeat,
+           .mIsServing = true };
+}
+
+}
+
+TEST_GROUP(MemberTable)
+{
+  global::ManualClock mClock;
+  MemberTable mTable{ mClock, MemberNamed("self", 1, 1) };
+};
+
+TEST(MemberTable, ForgetsAProcessThatFallsSilentWithinThreeSeconds)
+{
+  mTable.Merge(MemberNamed("x", 1, 1));
+  LONGS_EQUAL(1, mTable.Alive().size());
+
+  mClock.Advance(std::chrono::seconds(3));
+
+  LONGS_EQUAL(1, mTable.Expire().size());
+  LONGS_EQUAL(0, mTable.Alive().size());
+  LONGS_EQUAL(0, mTable.Expire().size());
+}
+
+TEST(MemberTable, HearsayOfOldHeartbeatsKeepsNobodyAlive)
+{
+  mTable.Merge(MemberNamed("x", 1, 7));
+  for (int i = 0; i < 40; ++i) {
+    mClock.Advance(std::chrono::milliseconds(100));
+    CHECK(mTable.Merge(MemberNamed("x", 1, 7)) == MergeResult::Nothing);
+    CHECK(mTable.Merge(MemberNamed("x", 1, 6)) == MergeResult::Nothing);
+  }
+  LONGS_EQUAL(0, mTable.Alive().size());
+}
+
+TEST(MemberTable, AnOlderLifeNeverReplacesANewerOne)
+{
+  mTable.Merge(MemberNamed("x", 2, 1));
+
+  CHECK(mTable.Merge(MemberNamed("x", 1, 100)) == MergeResult::Nothing);
+  CHECK(mTable.Merge(MemberNamed("x", 3, 1)) == MergeResult::Joined);
+}
+
+TEST(MemberTable, TellsThatAProcessNoLongerServes)
+{
+  mTable.Merge(MemberNamed("x", 1, 1));
+  Member leaving = MemberNamed("x", 1, 2);
+  leaving.mIsServing = false;
+
+  CHECK(mTable.Merge(leaving) == MergeResult::Changed);
+}
+
+TEST(MemberTable, RemembersTheMostGatewaysSeen)
+{
+  mTable.Merge(MemberNamed("x", 1, 1));
+  mTable.Merge(MemberNamed("y", 1, 1));
+  mClock.Advance(std::chrono::seconds(5));
+
+  LONGS_EQUAL(3, mTable.MostGateways());
+}
--- /dev/null
+++ b/src/published/tests/publishedstatetest.cpp
@@ -0,0 +1,145 @@
+#include "published/publishedstate.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever;
+using namespace beryllever::published;
+
+namespace {
+
+/** Items as text: "c VERSION", "e ID [leaving]", "z ZONE"; others cannot be
+ * read. */
+class TextCodec : public IRecordCodec
+{
+public:
+  Item Decode(const std::string&, const std::string& aData) const override
+  {
+    const std::string rest = aData.size() > 2 ? aData.substr(2) : "";
+    if (aData.starts_with("c ")) {
+      return Configuration{ .mVersion = std::stoll(rest) };
+    }
+    if (aData.starts_with("z ")) {
+      return OutOfService{ rest };
+    }
+    if (aData.starts_with("e ")) {
+      const bool isLeaving = rest.ends_with(" leaving");
+      return Endpoint{ .mId = rest.substr(0, rest.find(' ')),
+                       .mState = isLeaving ? EndpointState::Leaving
+                                           : EndpointState::Ready };
+    }
+    return Unreadable{ "no such item" };
+  }
+};
+
+}
+
+TEST_GROUP(PublishedState)
+{
+  global::ManualClock mClock;
+  TextCodec mCodec;
+  PublishedState mState{ mCodec, mClock };
+
+  bool Has(const std::string& aId) const
+  {
+    return mState.Current()->FindEndpoint(aId) != nullptr;
+  }
+};
+
+TEST(PublishedState, TheConfigurationNeverGoesBack)
+{
+  mState.TakeChanges({ { "config", "c 7", 10 } }, 10);
+
+  CHECK_FALSE(mState.TakeChanges({ { "config", "c 5", 11 } }, 11));
+
+  LONGS_EQUAL(7, mState.Current()->Version());
+}
+
+TEST(PublishedState, AStaleListingChangesNothing)
+{
+  mState.TakeListing({ { "config", "c 7", 10 }, { "x", "e x", 12 } }, 12);
+
+  CHECK_FALSE(mState.TakeListing(
+    { { "config", "c 6", 8 }, { "x", "e x leaving", 9 } }, 9));
+
+  CHECK(Has("x"));
+  CHECK(mState.Current()->FindEndpoint("x")->mState == EndpointState::Ready);
+}
+
+TEST(PublishedState, AListingAfterLostHistoryRemovesWhatHasGone)
+{
+  mState.TakeListing({ { "x", "e x", 5 }, { "y", "e y", 6 } }, 6);
+
+  mState.TakeListing({ { "y", "e y", 6 } }, 20);
+
+  CHECK_FALSE(Has("x"));
+  CHECK(Has("y"));
+}
+
+TEST(PublishedState, AnItemAddedWhileListingIsNotRemoved)
+{
+  mState.TakeChanges({ { "x", "e x", 30 } }, 30);
+
+  mState.TakeListing({}, 20);
+
+  CHECK(Has("x"));
+}
+
+TEST(PublishedState, AnUnreadableItemNamesNoEndpointAndTheOthersHold)
+{
+  mState.TakeChanges({ { "x", "e x", 1 }, { "y", "e y", 2 } }, 2);
+
+  mState.TakeChanges({ { "x", "?", 3 } }, 3);
+
+  CHECK_FALSE(Has("x"));
+  CHECK(Has("y"));
+}
+
+TEST(PublishedState, KeepsAnEndpointThatLapsedInAnOutageForAWhile)
+{
+  mState.TakeChanges({ { "x", "e x", 1 } }, 1);
+  mState.NoteFailure();
+  mState.TakeChanges({ { "x", "", 2, true } }, 2);
+  CHECK(Has("x"));
+
+  mClock.Advance(std::chrono::milliseconds(2300));
+
+  CHECK(mState.ExpireRemovals());
+  CHECK_FALSE(Has("x"));
+}
+
+TEST(PublishedState, AnEndpointThatIsBackAfterAnOutageStays)
+{
+  mState.TakeChanges({ { "x", "e x", 1 } }, 1);
+  mState.NoteFailure();
+  mState.TakeChanges({ { "x", "", 2, true } }, 2);
+  mState.TakeChanges({ { "x", "e x", 3 } }, 3);
+
+  mClock.Advance(std::chrono::seconds(10));
+
+  CHECK_FALSE(mState.ExpireRemovals());
+  CHECK(Has("x"));
+}
+
+TEST(PublishedState, PassesOnWhatAPeerDoesNotKnow)
+{
+  mState.TakeChanges({ { "x", "e x", 1 }, { "y", "e y", 2 } }, 2);
+  mState.TakeChanges({ { "x", "", 3, true } }, 3);
+  PublishedState peer(mCodec, mClock);
+  peer.TakeChanges({ { "x", "e x", 1 } }, 1);
+
+  peer.TakeChanges(mState.RecordsSince(peer.Revision()), mState.Revision());
+
+  CHECK(peer.Current()->FindEndpoint("x") == nullptr);
+  CHECK(peer.Current()->FindEndpoint("y") != nullptr);
+  LONGS_EQUAL(3, peer.Revision());
+}
+
+TEST(PublishedState, AZoneIsOutUntilItsItemIsRemoved)
+{
+  mState.TakeChanges({ { "out", "z a", 1 } }, 1);
+  CHECK(mState.Current()->OutZones().contains("a"));
+
+  mState.TakeChanges({ { "out", "", 2, true } }, 2);
+
+  CHECK(mState.Current()->OutZones().empty());
+}
