--- a/src/framework/log/internal/log.cpp
+++ b/src/framework/log/internal/log.cpp
@@ -1,10 +1,12 @@
 #include "framework/log/log.h"
 
+#include "framework/log/boundedappender.h"
+
 #include <algorithm>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <memory>
+#include <unistd.h>
 
 namespace beryllever::log {
 
@@ -30,8 +32,7 @@
   sInitializer = std::make_unique<log4cplus::Initializer>();
   const std::string pattern =
     "%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p " + aProcess + " %c: %m%n";
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(new BoundedAppender(STDOUT_FILENO));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.addAppender(appender);
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -18,7 +18,7 @@
 
 namespace beryllever::log {
 
-/** Starts logging to standard error. Levels: debug, info, warn, error. */
+/** Starts logging to standard output. Levels: debug, info, warn, error. */
 void
 Start(const std::string& aProcess, const std::string& aLevel);
 
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -84,7 +84,7 @@
   ++mMembers.Self().mHeartbeat;
   for (const Member& member : mMembers.Alive()) {
     mIsCalling[member.mPeerAddress] = false;
-    GossipWith(member.mPeerAddress);
+    GossipWith(member.mPeerAddress, false);
   }
 }
 
@@ -103,8 +103,11 @@
     mListener->HandleMembers();
     DropChannels();
   }
+  // One peer's members are enough to hear of all; the others hear of this one.
+  bool wantsMembers = true;
   for (const std::string& address : GossipTargets()) {
-    GossipWith(address);
+    GossipWith(address, wantsMembers);
+    wantsMembers = false;
   }
   FetchIfBehind();
 }
@@ -114,10 +117,22 @@
 {
   const bool isGateway = mMembers.Self().mRole == kGatewayRole;
   std::vector<std::string> targets;
+  std::set<std::string> near;
   for (const Member& member : mMembers.AliveWithRole(kGatewayRole)) {
     targets.push_back(member.mPeerAddress);
+    if (member.mAvailabilityZone == mMembers.Self().mAvailabilityZone) {
+      near.insert(member.mPeerAddress);
+    }
   }
   std::shuffle(targets.begin(), targets.end(), mRandom);
+  if (!isGateway) {
+    // Whole lists come from a gateway of this process's own zone, if there is
+    // one.
+    std::stable_partition(
+      targets.begin(), targets.end(), [&](const std::string& aAddress) {
+        return near.contains(aAddress);
+      });
+  }
   if (isGateway && targets.size() > kFanout) {
     targets.resize(kFanout);
   }
@@ -136,7 +151,7 @@
 }
 
 void
-MeshNode::GossipWith(const std::string& aAddress)
+MeshNode::GossipWith(const std::string& aAddress, bool aWantsMembers)
 {
   if (mIsCalling[aAddress]) {
     return;
@@ -145,12 +160,12 @@
   v1::GossipRequest request;
   Write(mMembers.Self(), *request.add_members());
   const bool isGateway = mMembers.Self().mRole == kGatewayRole;
-  if (isGateway) {
+  if (isGateway && aWantsMembers) {
     for (const Member& member : mMembers.AliveWithRole(kGatewayRole)) {
       Write(member, *request.add_members());
     }
   }
-  request.set_wants_members(true);
+  request.set_wants_members(aWantsMembers);
   const auto stub = std::shared_ptr<v1::Mesh::Stub>(
     v1::Mesh::NewStub(ChannelTo(aAddress)));
   transport::CallUnary<v1::GossipRequest, v1::GossipReply>(
@@ -179,8 +194,13 @@
   if (!aRequest.wants_members()) {
     return;
   }
+  // Agents tell every gateway of themselves.
+  const bool isGateway = aRequest.members_size() > 0 &&
+                         aRequest.members(0).role() == kGatewayRole;
   for (const Member& member : mMembers.Alive()) {
-    Write(member, *aReply.add_members());
+    if (!isGateway || member.mRole == kGatewayRole) {
+      Write(member, *aReply.add_members());
+    }
   }
 }
 
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -64,7 +64,7 @@
 private:
   void Tick();
   std::vector<std::string> GossipTargets();
-  void GossipWith(const std::string& aAddress);
+  void GossipWith(const std::string& aAddress, bool aWantsMembers);
   void TakeMembers(
     const google::protobuf::RepeatedPtrField<v1::Member>& aMembers);
   void FetchIfBehind();
--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -294,7 +294,7 @@
   text << static_cast<int>(mPhase) << ',' << mPlan.mVersion << ','
        << mPlan.mStep << ',' << mPlan.mSpareVersion << ',' << mHasFailedToArm;
   for (const Progress& progress : mProgress) {
-    text << ';' << progress.mIsDone << progress.mIsHeld << progress.mTries;
+    text << ';' << progress.mIsDone << progress.mIsHeld;
   }
   return text.str();
 }
--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -93,7 +93,7 @@
   /** Whether an order to let the pass go may be on its way. */
   bool HasBegunRelease() const { return mHasBegunRelease; }
   std::string_view PhaseName() const;
-  /** Equal text means equal state. */
+  /** Equal text means equal state, but for the tries that are left. */
   std::string Fingerprint() const;
 
 private:
