--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -41,10 +41,10 @@
 /** Passes beyond the one that runs that a lead may name. */
 constexpr uint64_t kMaxStepsAhead = 16;
 /** Share of the largest loads that a new map must save. */
-constexpr double kMinGain = 0.08;
+constexpr double kMinGain = 0.12;
 /** Share of a layer's largest load that each copied expert must save: a copy
  * takes memory bandwidth, and demand moves on within seconds. */
-constexpr double kMinGainPerCopy = 0.015;
+constexpr double kMinGainPerCopy = 0.03;
 /** Pause after a change that came to nothing. */
 constexpr milliseconds kPauseAfterFailure{ 300 };
 /** Requests' choices below this number tell nothing. */
