--- a/src/app/internal/distributionmodule.cpp
+++ b/src/app/internal/distributionmodule.cpp
@@ -1,7 +1,7 @@
+#include "consul/consulplatform.h"
 #include "distribution/configurationnode.h"
 #include "framework/kernel/kernel.h"
 #include "operations/ioperatorpages.h"
-#include "consul/consulplatform.h"
 #include "transport/grpcserver.h"
 
 namespace beryllever::app {
--- a/src/app/internal/signalwatcher.h
+++ b/src/app/internal/signalwatcher.h
@@ -6,13 +6,12 @@
 
 namespace beryllever::app {
 
-/** Turns SIGTERM and SIGINT (stop) and SIGHUP (reload) into calls on the control
- * thread. */
+/** Turns SIGTERM and SIGINT (stop) and SIGHUP (reload) into calls on the
+ * control thread. */
 class SignalWatcher
 {
 public:
-  SignalWatcher(std::function<void()> aOnStop,
-                std::function<void()> aOnReload);
+  SignalWatcher(std::function<void()> aOnStop, std::function<void()> aOnReload);
   ~SignalWatcher();
 
 private:
--- a/src/consul/consulplatform.h
+++ b/src/consul/consulplatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "framework/net/httpcall.h"
 #include "consul/iplatform.h"
+#include "framework/net/httpcall.h"
 
 #include <QObject>
 #include <QTimer>
--- a/src/consul/internal/consulanswers.h
+++ b/src/consul/internal/consulanswers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "framework/global/errors.h"
 #include "consul/iplatform.h"
+#include "framework/global/errors.h"
 
 #include <string>
 
--- a/src/consul/internal/consulplatform.cpp
+++ b/src/consul/internal/consulplatform.cpp
@@ -1,7 +1,7 @@
 #include "consul/consulplatform.h"
 
-#include "framework/log/log.h"
 #include "consul/internal/consulanswers.h"
+#include "framework/log/log.h"
 
 #include <algorithm>
 #include <random>
--- a/src/distribution/configurationnode.h
+++ b/src/distribution/configurationnode.h
@@ -2,11 +2,11 @@
 
 #include "configuration/iconfiguration.h"
 #include "configuration/processsettings.h"
+#include "consul/iplatform.h"
 #include "distribution/followclient.h"
 #include "distribution/peerservice.h"
 #include "distribution/snapshotgate.h"
 #include "framework/metrics/metrics.h"
-#include "consul/iplatform.h"
 #include "spread/revisionstore.h"
 #include "spread/sourceselection.h"
 
--- a/src/framework/log/internal/boundedappender.cpp
+++ b/src/framework/log/internal/boundedappender.cpp
@@ -108,8 +108,8 @@
     text += line;
   }
   if (aDropped > 0) {
-    text += "WARN  log: Lines were dropped. lines=" +
-            std::to_string(aDropped) + "\n";
+    text +=
+      "WARN  log: Lines were dropped. lines=" + std::to_string(aDropped) + "\n";
   }
   WriteWhole(mDescriptor, text);
 }
--- a/src/framework/log/tests/boundedappendertest.cpp
+++ b/src/framework/log/tests/boundedappendertest.cpp
@@ -16,14 +16,16 @@
   std::array<int, 2> mPipe{};
   log4cplus::Logger mLogger = log4cplus::Logger::getInstance("test");
 
-  void setup() override { LONGS_EQUAL(0, pipe(mPipe.data())); }
+  void setup() override
+  {
+    LONGS_EQUAL(0, pipe(mPipe.data()));
+  }
 
   std::string ReadAll() const
   {
     std::string text;
     std::array<char, 4096> buf;
-    for (ssize_t n = 0;
-         (n = read(mPipe[0], buf.data(), buf.size())) > 0;) {
+    for (ssize_t n = 0; (n = read(mPipe[0], buf.data(), buf.size())) > 0;) {
       text.append(buf.data(), static_cast<size_t>(n));
     }
     close(mPipe[0]);
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -346,7 +346,8 @@
 TcpListener::Listen(const TcpAddress& aAddress, OnAccepted aOnAccepted)
 {
   mOnAccepted = std::move(aOnAccepted);
-  mDescriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  mDescriptor =
+    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (mDescriptor < 0) {
     return false;
   }
--- a/src/gateway/endpointledger.h
+++ b/src/gateway/endpointledger.h
@@ -107,7 +107,8 @@
     int mOutstandingAtReport = 0;
   };
 
-  bool IsColdBoundReached(const Load& aLoad, const published::Pool& aPool) const;
+  bool IsColdBoundReached(const Load& aLoad,
+                          const published::Pool& aPool) const;
   double EstimatedRequests(const Load& aLoad) const;
   double FailureScore(const Load& aLoad) const;
 
--- a/src/gateway/internal/endpointconnections.cpp
+++ b/src/gateway/internal/endpointconnections.cpp
@@ -30,8 +30,8 @@
   while (!aMustBeFresh && !idle.empty()) {
     Idle last = std::move(idle.back());
     idle.pop_back();
-    const bool isSame = last.mAddress == aEndpoint.mAddress &&
-                        last.mBorn == aEndpoint.mBorn;
+    const bool isSame =
+      last.mAddress == aEndpoint.mAddress && last.mBorn == aEndpoint.mBorn;
     if (isSame && last.mDeadline > mClock.Now() &&
         last.mConnection->IsReusable()) {
       return { last.mConnection, true };
@@ -66,19 +66,19 @@
   const auto now = mClock.Now();
   for (auto& [id, list] : mIdle) {
     const published::Endpoint* endpoint = aSnapshot.FindEndpoint(id);
-    const bool isGone =
-      endpoint == nullptr ||
-      endpoint->mState != published::EndpointState::Ready;
+    const bool isGone = endpoint == nullptr ||
+                        endpoint->mState != published::EndpointState::Ready;
     std::erase_if(list, [&](const Idle& aIdle) {
-      const bool isOver = isGone || aIdle.mDeadline <= now ||
-                          !aIdle.mConnection->IsReusable();
+      const bool isOver =
+        isGone || aIdle.mDeadline <= now || !aIdle.mConnection->IsReusable();
       if (isOver) {
         aIdle.mConnection->Abort();
       }
       return isOver;
     });
   }
-  std::erase_if(mIdle, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 void
--- a/src/gateway/internal/endpointledger.cpp
+++ b/src/gateway/internal/endpointledger.cpp
@@ -152,8 +152,8 @@
                         mBounds.mColdTolerance) /
                        std::max(1, mBounds.mEntries);
   const double allowed = std::max(1.0, std::floor(share));
-  const auto window = duration_cast<global::Duration>(
-    kColdWindow * std::max(1.0, 1.0 / share));
+  const auto window =
+    duration_cast<global::Duration>(kColdWindow * std::max(1.0, 1.0 / share));
   const auto since = mClock.Now() - window;
   const auto recent = std::count_if(aLoad.mSends.begin(),
                                     aLoad.mSends.end(),
@@ -176,8 +176,7 @@
 double
 EndpointLedger::FailureScore(const Load& aLoad) const
 {
-  const double age =
-    duration<double>(mClock.Now() - aLoad.mFailuresAt).count();
+  const double age = duration<double>(mClock.Now() - aLoad.mFailuresAt).count();
   return aLoad.mFailures *
          std::exp2(-age / duration<double>(kFailureHalfLife).count());
 }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -40,17 +40,15 @@
 
 /** Fields that concern one connection only. */
 constexpr std::array<std::string_view, 9> kConnectionFields{
-  "Connection", "Keep-Alive",        "Proxy-Connection",
-  "TE",         "Trailer",           "Transfer-Encoding",
-  "Upgrade",    "Proxy-Authenticate", "Expect"
+  "Connection",        "Keep-Alive", "Proxy-Connection",   "TE",    "Trailer",
+  "Transfer-Encoding", "Upgrade",    "Proxy-Authenticate", "Expect"
 };
 
 void
 EraseConnectionFields(http::fields& aFields)
 {
   std::vector<std::string> named;
-  for (const auto& token :
-       http::token_list(aFields[http::field::connection])) {
+  for (const auto& token : http::token_list(aFields[http::field::connection])) {
     named.emplace_back(token);
   }
   for (const std::string& name : named) {
@@ -84,18 +82,14 @@
   mDeadlineTimer.setSingleShot(true);
   mDeadlineTimer.setTimerType(Qt::PreciseTimer);
   mAttemptTimer.setSingleShot(true);
-  QObject::connect(&mDeadlineTimer,
-                   &QTimer::timeout,
-                   &mDeadlineTimer,
-                   [this] {
-                     const auto self = shared_from_this();
-                     HandleDeadline();
-                   });
-  QObject::connect(
-    &mAttemptTimer, &QTimer::timeout, &mAttemptTimer, [this] {
-      const auto self = shared_from_this();
-      HandleAttemptTimeout();
-    });
+  QObject::connect(&mDeadlineTimer, &QTimer::timeout, &mDeadlineTimer, [this] {
+    const auto self = shared_from_this();
+    HandleDeadline();
+  });
+  QObject::connect(&mAttemptTimer, &QTimer::timeout, &mAttemptTimer, [this] {
+    const auto self = shared_from_this();
+    HandleAttemptTimeout();
+  });
 }
 
 void
@@ -245,9 +239,8 @@
   mAttempt->mLease =
     mTraffic.mConnections.Acquire(aEndpoint, !mRoute->IsRepeatable());
   mAttemptTimer.start(kConnectTime);
-  mAttempt->mLease.mConnection->Send(RequestText(aEndpoint),
-                                     AnswerHandlers(),
-                                     mRequest.mMethod == "HEAD");
+  mAttempt->mLease.mConnection->Send(
+    RequestText(aEndpoint), AnswerHandlers(), mRequest.mMethod == "HEAD");
 }
 
 std::string
@@ -419,8 +412,7 @@
     HandleWhole();
     return;
   }
-  HandleBroken(std::string("answer ended: ") +
-               std::string(net::NameOf(aEnd)));
+  HandleBroken(std::string("answer ended: ") + std::string(net::NameOf(aEnd)));
 }
 
 void
@@ -479,9 +471,8 @@
   mLastFailure = "endpoint refused, not run";
   LOGI("Endpoint refused the request. request="
        << mFacts.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
-       << " status=" << mAttempt->mHead->mStatus
-       << " blamed=" << mAttempt->mFacts.mFaultyEndpoint
-       << " attempt=" << mAttempts);
+       << " status=" << mAttempt->mHead->mStatus << " blamed="
+       << mAttempt->mFacts.mFaultyEndpoint << " attempt=" << mAttempts);
   DropAttempt(mAttempt->mFacts.mIsMisdirected ? EndpointOutcome::Unreachable
                                               : EndpointOutcome::Refused);
   TryAgain("not_run");
@@ -567,13 +558,12 @@
     TryAgain("no_connection");
     return;
   }
-  const auto age = duration_cast<milliseconds>(mTraffic.mClock.Now() -
-                                               mAttempt->mSentAt);
+  const auto age =
+    duration_cast<milliseconds>(mTraffic.mClock.Now() - mAttempt->mSentAt);
   const milliseconds limit =
-    IsEventStream()
-      ? kSilentStream
-      : duration_cast<milliseconds>((mDeadline - mRequest.mArrival) *
-                                    kSilentShare);
+    IsEventStream() ? kSilentStream
+                    : duration_cast<milliseconds>(
+                        (mDeadline - mRequest.mArrival) * kSilentShare);
   if (!mAttempt->mIsPassedOn && age < limit) {
     mAttemptTimer.start(limit - age);
     return;
@@ -666,8 +656,7 @@
   }
   const std::string route = mRoute == nullptr ? "" : mRoute->mName;
   LOGI("Ended. request=" << mFacts.mRequestId << " route=" << route
-                         << " pool=" << mPool << " endpoint="
-                         << mLastEndpoint
+                         << " pool=" << mPool << " endpoint=" << mLastEndpoint
                          << " status=" << aStatus << " attempts=" << mAttempts
                          << " firstByteMilliseconds="
                          << mFirstByte.value_or(milliseconds(-1)).count()
@@ -695,8 +684,7 @@
 milliseconds
 Exchange::Elapsed() const
 {
-  return duration_cast<milliseconds>(mTraffic.mClock.Now() -
-                                     mRequest.mArrival);
+  return duration_cast<milliseconds>(mTraffic.mClock.Now() - mRequest.mArrival);
 }
 
 milliseconds
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -51,10 +51,7 @@
   , mParts(std::move(aParts))
   , mState(*mParts.mRecords, aClock)
   , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
-  , mTraffic(aClock,
-             *mParts.mRequests,
-             aMetrics,
-             aSettings.AvailabilityZone())
+  , mTraffic(aClock, *mParts.mRequests, aMetrics, aSettings.AvailabilityZone())
   , mReadiness(
       aClock,
       [this](const auto& aRequest) { return AnswerReadiness(aRequest); })
@@ -120,8 +117,8 @@
   mIsLeaving = true;
   const auto now = mClock.Now();
   mLatestEnd = now + mSite.mGrace - kGraceReserve;
-  const auto longest = std::chrono::duration_cast<milliseconds>(
-    mSite.mGrace * kIntakeShare);
+  const auto longest =
+    std::chrono::duration_cast<milliseconds>(mSite.mGrace * kIntakeShare);
   mIntakeEnd =
     now + std::min<milliseconds>(mSite.mTimeToLive + kLeavingSlack, longest);
   UpdateServing();
--- a/src/gateway/internal/pageserver.cpp
+++ b/src/gateway/internal/pageserver.cpp
@@ -11,8 +11,8 @@
 bool
 PageServer::Listen(const net::TcpAddress& aAddress)
 {
-  return mListener.Listen(
-    aAddress, [this](auto aSocket) { Accept(std::move(aSocket)); });
+  return mListener.Listen(aAddress,
+                          [this](auto aSocket) { Accept(std::move(aSocket)); });
 }
 
 void
@@ -22,19 +22,18 @@
   const auto connection = std::make_shared<net::HttpServerConnection>(
     std::move(aSocket), mClock, net::ServerLimits{});
   mConnections[id] = connection;
-  connection->Start({ .mOnRequest =
-                        [this, id](const net::ServerRequest& aRequest) {
-                          const PageAnswer answer = mHandler(aRequest);
-                          net::http::fields fields;
-                          fields.set(net::http::field::content_type,
-                                     answer.mContentType);
-                          const auto connection = mConnections[id];
-                          connection->Answer(
-                            answer.mStatus, std::move(fields), answer.mBody);
-                        },
-                      .mOnGone = [this, id] { mConnections.erase(id); },
-                      .mOnDrained = {},
-                      .mOnRefused = {} });
+  connection->Start(
+    { .mOnRequest =
+        [this, id](const net::ServerRequest& aRequest) {
+          const PageAnswer answer = mHandler(aRequest);
+          net::http::fields fields;
+          fields.set(net::http::field::content_type, answer.mContentType);
+          const auto connection = mConnections[id];
+          connection->Answer(answer.mStatus, std::move(fields), answer.mBody);
+        },
+      .mOnGone = [this, id] { mConnections.erase(id); },
+      .mOnDrained = {},
+      .mOnRefused = {} });
 }
 
 }
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -20,11 +20,11 @@
   , mCodec(aCodec)
   , mMetrics(aMetrics)
   , mAvailabilityZone(std::move(aAvailabilityZone))
-  , mSnapshot(std::make_shared<published::Snapshot>(
-      nullptr,
-      published::Snapshot::Endpoints(),
-      std::set<std::string>(),
-      0))
+  , mSnapshot(
+      std::make_shared<published::Snapshot>(nullptr,
+                                            published::Snapshot::Endpoints(),
+                                            std::set<std::string>(),
+                                            0))
   , mLedger(aClock, global::RandomIdentifier())
   , mConnections(aClock)
   , mRandom(global::RandomIdentifier())
@@ -54,8 +54,10 @@
   mEntries = aEntries;
   mLedger.SetBounds({ aEntries, aBounds.mColdOverage, aBounds.mColdTolerance });
   for (auto& [pool, retries] : mRetries) {
-    retries.SetBounds(
-      { mBounds.mRetryRatio, mBounds.mRetryExtra, mBounds.mRetryWindow, mEntries });
+    retries.SetBounds({ mBounds.mRetryRatio,
+                        mBounds.mRetryExtra,
+                        mBounds.mRetryWindow,
+                        mEntries });
   }
 }
 
@@ -101,8 +103,10 @@
 {
   const auto [it, isNew] = mRetries.try_emplace(aPool, mClock);
   if (isNew) {
-    it->second.SetBounds(
-      { mBounds.mRetryRatio, mBounds.mRetryExtra, mBounds.mRetryWindow, mEntries });
+    it->second.SetBounds({ mBounds.mRetryRatio,
+                           mBounds.mRetryExtra,
+                           mBounds.mRetryWindow,
+                           mEntries });
   }
   return it->second;
 }
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -31,9 +31,8 @@
 bool
 TrafficCore::Listen(const net::TcpAddress& aAddress)
 {
-  return mListener.Listen(aAddress, [this](auto aSocket) {
-    Accept(std::move(aSocket));
-  });
+  return mListener.Listen(aAddress,
+                          [this](auto aSocket) { Accept(std::move(aSocket)); });
 }
 
 net::ServerLimits
@@ -62,26 +61,25 @@
 net::HttpServerConnection::Handlers
 TrafficCore::HandlersFor(uint64_t aId)
 {
-  return {
-    .mOnRequest =
-      [this, aId](net::ServerRequest aRequest) {
-        Begin(aId, std::move(aRequest));
-      },
-    .mOnGone = [this, aId] { Drop(aId); },
-    .mOnDrained =
-      [this, aId] {
-        if (const auto exchange = mCallers[aId].mExchange) {
-          exchange->HandleCallerDrained();
-        }
-      },
-    .mOnRefused =
-      [this](unsigned aStatus, const std::string& aReason) {
-        LOGW("Request cannot be taken. status=" << aStatus
-                                                << " reason=" << aReason);
-        mTraffic.mMetrics.Count("beryllever_bad_requests",
-                                { { "status", std::to_string(aStatus) } });
-      }
-  };
+  return { .mOnRequest =
+             [this, aId](net::ServerRequest aRequest) {
+               Begin(aId, std::move(aRequest));
+             },
+           .mOnGone = [this, aId] { Drop(aId); },
+           .mOnDrained =
+             [this, aId] {
+               if (const auto exchange = mCallers[aId].mExchange) {
+                 exchange->HandleCallerDrained();
+               }
+             },
+           .mOnRefused =
+             [this](unsigned aStatus, const std::string& aReason) {
+               LOGW("Request cannot be taken. status=" << aStatus << " reason="
+                                                       << aReason);
+               mTraffic.mMetrics.Count(
+                 "beryllever_bad_requests",
+                 { { "status", std::to_string(aStatus) } });
+             } };
 }
 
 void
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -51,8 +51,7 @@
 }
 
 void
-TrafficServer::SetSnapshot(
-  std::shared_ptr<const published::Snapshot> aSnapshot)
+TrafficServer::SetSnapshot(std::shared_ptr<const published::Snapshot> aSnapshot)
 {
   transport::Post(&mContext, [this, snapshot = std::move(aSnapshot)] {
     mCore->State().SetSnapshot(snapshot);
--- a/src/gateway/tests/endpointledgertest.cpp
+++ b/src/gateway/tests/endpointledgertest.cpp
@@ -110,8 +110,7 @@
   mLedger.TakeReport("busy", { 4, true, mClock.Now() });
   mLedger.TakeReport("free", { 1, true, mClock.Now() });
 
-  STRCMP_EQUAL("free",
-               mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
+  STRCMP_EQUAL("free", mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
 }
 
 TEST(EndpointLedger, TrustsNoOldReport)
--- a/src/mesh/internal/membertable.cpp
+++ b/src/mesh/internal/membertable.cpp
@@ -34,10 +34,9 @@
   Entry& entry = it->second;
   if (!isNew) {
     const Member& known = entry.mMember;
-    const bool isNewer =
-      aMember.mIncarnation > known.mIncarnation ||
-      (aMember.mIncarnation == known.mIncarnation &&
-       aMember.mHeartbeat > known.mHeartbeat);
+    const bool isNewer = aMember.mIncarnation > known.mIncarnation ||
+                         (aMember.mIncarnation == known.mIncarnation &&
+                          aMember.mHeartbeat > known.mHeartbeat);
     if (!isNewer) {
       return MergeResult::Nothing;
     }
@@ -46,8 +45,8 @@
                          aMember.mIncarnation > entry.mMember.mIncarnation;
   const bool hasChanged = entry.mMember.mIsServing != aMember.mIsServing;
   entry = { aMember, deadline };
-  const auto gateways = AliveWithRole(kGatewayRole).size() +
-                        (mSelf.mRole == kGatewayRole ? 1 : 0);
+  const auto gateways =
+    AliveWithRole(kGatewayRole).size() + (mSelf.mRole == kGatewayRole ? 1 : 0);
   mMostGateways = std::max(mMostGateways, static_cast<int>(gateways));
   if (hasJoined) {
     return MergeResult::Joined;
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -96,8 +96,7 @@
   self.mPublishedRevision = mListener->PublishedRevision();
   const std::vector<Member> expired = mMembers.Expire();
   for (const Member& member : expired) {
-    LOGW("Peer has gone silent. vm=" << member.mVm
-                                     << " role=" << member.mRole);
+    LOGW("Peer has gone silent. vm=" << member.mVm << " role=" << member.mRole);
   }
   if (!expired.empty()) {
     mListener->HandleMembers();
@@ -166,8 +165,8 @@
     }
   }
   request.set_wants_members(aWantsMembers);
-  const auto stub = std::shared_ptr<v1::Mesh::Stub>(
-    v1::Mesh::NewStub(ChannelTo(aAddress)));
+  const auto stub =
+    std::shared_ptr<v1::Mesh::Stub>(v1::Mesh::NewStub(ChannelTo(aAddress)));
   transport::CallUnary<v1::GossipRequest, v1::GossipReply>(
     this,
     std::move(request),
@@ -175,7 +174,8 @@
     [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Gossip(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [this, aAddress](const grpc::Status& aStatus, const v1::GossipReply& aReply) {
+    [this, aAddress](const grpc::Status& aStatus,
+                     const v1::GossipReply& aReply) {
       mIsCalling[aAddress] = false;
       if (!aStatus.ok()) {
         mMetrics.Count("beryllever_gossip_failures");
@@ -195,8 +195,8 @@
     return;
   }
   // Agents tell every gateway of themselves.
-  const bool isGateway = aRequest.members_size() > 0 &&
-                         aRequest.members(0).role() == kGatewayRole;
+  const bool isGateway =
+    aRequest.members_size() > 0 && aRequest.members(0).role() == kGatewayRole;
   for (const Member& member : mMembers.Alive()) {
     if (!isGateway || member.mRole == kGatewayRole) {
       Write(member, *aReply.add_members());
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -68,10 +68,8 @@
 {
   RecordBatch batch{ .mRevision = aMessage.revision() };
   for (const v1::PublishedRecord& record : aMessage.records()) {
-    batch.mRecords.push_back({ record.key(),
-                               record.data(),
-                               record.revision(),
-                               record.is_deleted() });
+    batch.mRecords.push_back(
+      { record.key(), record.data(), record.revision(), record.is_deleted() });
   }
   return batch;
 }
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -82,15 +82,14 @@
 PublishedState::ExpireRemovals()
 {
   const auto now = mClock.Now();
-  const size_t removed =
-    std::erase_if(mRemovals, [&](const auto& aRemoval) {
-      if (aRemoval.second > now) {
-        return false;
-      }
-      LOGI("Endpoint is gone for good. key=" << aRemoval.first);
-      mEndpointsByKey.erase(aRemoval.first);
-      return true;
-    });
+  const size_t removed = std::erase_if(mRemovals, [&](const auto& aRemoval) {
+    if (aRemoval.second > now) {
+      return false;
+    }
+    LOGI("Endpoint is gone for good. key=" << aRemoval.first);
+    mEndpointsByKey.erase(aRemoval.first);
+    return true;
+  });
   if (removed > 0) {
     Rebuild();
   }
@@ -147,15 +146,13 @@
 {
   if (mConfiguration && aConfiguration.mVersion <= mConfiguration->mVersion) {
     LOGW("Older configuration is not taken. version="
-         << aConfiguration.mVersion
-         << " inForce=" << mConfiguration->mVersion);
+         << aConfiguration.mVersion << " inForce=" << mConfiguration->mVersion);
     return false;
   }
   LOGI("Configuration is in force. version="
        << aConfiguration.mVersion << " routes=" << aConfiguration.mRoutes.size()
        << " pools=" << aConfiguration.mPools.size());
-  mConfiguration =
-    std::make_shared<Configuration>(std::move(aConfiguration));
+  mConfiguration = std::make_shared<Configuration>(std::move(aConfiguration));
   return true;
 }
 
@@ -190,10 +187,9 @@
   }
   const bool isNearOutage =
     mHasFailed && mClock.Now() - mLastFailure < kReregistration;
-  if (aMayDelay && isNearOutage &&
-      it->second.mState == EndpointState::Ready) {
-    LOGI("Endpoint lapsed close to an outage and is kept for now. key="
-         << aKey);
+  if (aMayDelay && isNearOutage && it->second.mState == EndpointState::Ready) {
+    LOGI(
+      "Endpoint lapsed close to an outage and is kept for now. key=" << aKey);
     mRemovals[aKey] = mLastFailure + kReregistration;
     return false;
   }
--- a/src/published/publishedtypes.h
+++ b/src/published/publishedtypes.h
@@ -165,8 +165,8 @@
 struct Ignored
 {};
 
-using Item = std::
-  variant<Configuration, Endpoint, OutOfService, Unreadable, Ignored>;
+using Item =
+  std::variant<Configuration, Endpoint, OutOfService, Unreadable, Ignored>;
 
 /** One published item as it was written at a revision. */
 struct Record
--- a/src/rankagent/ienginecodec.h
+++ b/src/rankagent/ienginecodec.h
@@ -17,7 +17,8 @@
   virtual std::string PlacementTarget() const = 0;
   virtual std::string OrderTarget() const = 0;
   /** Nothing if the text is no such answer. */
-  virtual std::optional<RankState> ReadState(const std::string& aBody) const = 0;
+  virtual std::optional<RankState> ReadState(
+    const std::string& aBody) const = 0;
   virtual std::optional<ExpertCounts> ReadCounts(
     const std::string& aBody) const = 0;
   virtual std::optional<RankPlacement> ReadPlacement(
--- a/src/rankagent/internal/engineclient.cpp
+++ b/src/rankagent/internal/engineclient.cpp
@@ -56,8 +56,7 @@
           "",
           kReadTime,
           [this, aOnCounts](unsigned aStatus, const std::string& aBody) {
-            aOnCounts(aStatus == 200 ? mCodec.ReadCounts(aBody)
-                                     : std::nullopt);
+            aOnCounts(aStatus == 200 ? mCodec.ReadCounts(aBody) : std::nullopt);
           });
 }
 
@@ -78,23 +77,22 @@
 EngineClient::Order(const RankOrder& aOrder,
                     std::function<void(OrderOutcome)> aOnOutcome)
 {
-  Enqueue("POST " + mCodec.OrderTarget() + " HTTP/1.1",
-          mCodec.WriteOrder(aOrder),
-          kOrderTime,
-          [this, aOnOutcome, aOrder](unsigned aStatus,
-                                     const std::string& aBody) {
-            RankOrder brief = aOrder;
-            brief.mMap.clear();
-            LOGI("Order. order=" << mCodec.WriteOrder(brief)
-                                 << " status=" << aStatus << " answer="
-                                 << aBody.substr(0, kLoggedBytes));
-            if (aStatus == 0 || aStatus >= 500) {
-              aOnOutcome(OrderOutcome::Unknown);
-              return;
-            }
-            aOnOutcome(aStatus / 100 == 2 ? OrderOutcome::Taken
-                                          : OrderOutcome::Refused);
-          });
+  Enqueue(
+    "POST " + mCodec.OrderTarget() + " HTTP/1.1",
+    mCodec.WriteOrder(aOrder),
+    kOrderTime,
+    [this, aOnOutcome, aOrder](unsigned aStatus, const std::string& aBody) {
+      RankOrder brief = aOrder;
+      brief.mMap.clear();
+      LOGI("Order. order=" << mCodec.WriteOrder(brief) << " status=" << aStatus
+                           << " answer=" << aBody.substr(0, kLoggedBytes));
+      if (aStatus == 0 || aStatus >= 500) {
+        aOnOutcome(OrderOutcome::Unknown);
+        return;
+      }
+      aOnOutcome(aStatus / 100 == 2 ? OrderOutcome::Taken
+                                    : OrderOutcome::Refused);
+    });
 }
 
 void
@@ -114,8 +112,9 @@
     fields.set("Content-Type", "application/json");
     fields.set("Content-Length", std::to_string(aBody.size()));
   }
-  mCalls.push_back(
-    { net::HeadText(aStartLine, fields) + aBody, aTimeout, std::move(aOnAnswer) });
+  mCalls.push_back({ net::HeadText(aStartLine, fields) + aBody,
+                     aTimeout,
+                     std::move(aOnAnswer) });
   StartNext();
 }
 
--- a/src/rankagent/internal/engineclient.h
+++ b/src/rankagent/internal/engineclient.h
@@ -9,7 +9,6 @@
 
 namespace beryllever::rankagent {
 
-
 /** Calls the engine beside this process, one call after the other. */
 class EngineClient
 {
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -83,8 +83,8 @@
     return false;
   }
   const std::vector<uint32_t> leads = mPort.LiveLeads();
-  const bool isLowest = std::all_of(
-    leads.begin(), leads.end(), [this](uint32_t aRank) {
+  const bool isLowest =
+    std::all_of(leads.begin(), leads.end(), [this](uint32_t aRank) {
       return aRank > mOwn->mRank;
     });
   if (mMayLead) {
@@ -295,16 +295,15 @@
   const uint64_t own = mSamples[mOwn->mRank]->mState.mHeldStep;
   // An order of an earlier life of this process may still let its hold go, so
   // that hold protects nothing; another lead clears it.
-  const bool isEarlierLife =
-    own != 0 && own != mChangeStep && !mMayLead;
+  const bool isEarlierLife = own != 0 && own != mChangeStep && !mMayLead;
   if (isEarlierLife || now - mHeldSince < kForeignHold) {
     return true;
   }
   LOGW("A hold that a lead has left is cleared. group="
        << mOwn->mGroup << " step=" << held << " own=" << (own != 0));
   mHeldSince = {};
-  BeginChange({ .mStep = held,
-                .mIsReleaseOnly = own != 0 && own == mReleasedStep });
+  BeginChange(
+    { .mStep = held, .mIsReleaseOnly = own != 0 && own == mReleasedStep });
   return true;
 }
 
@@ -354,8 +353,7 @@
 uint64_t
 GroupLeader::NextVersion()
 {
-  mHighestVersion =
-    VersionAbove(mHighestVersion, TagFor(mOwn->mRank, mLife));
+  mHighestVersion = VersionAbove(mHighestVersion, TagFor(mOwn->mRank, mLife));
   return mHighestVersion;
 }
 
@@ -364,7 +362,8 @@
 {
   const ExpertMap current = CurrentMap();
   // The first window of a shift is a mixture of old and new demand.
-  if (mClock.Now() < mNextPlan || mHasShifted || mPopularity.empty() || current.empty()) {
+  if (mClock.Now() < mNextPlan || mHasShifted || mPopularity.empty() ||
+      current.empty()) {
     return;
   }
   double before = 0;
@@ -378,9 +377,9 @@
   mPrepareDeadline = mClock.Now() + kPrepareTime;
   mPrepareAgain = mClock.Now() + kPrepareAgain;
   LOGI("A better expert map is prepared. group="
-       << mOwn->mGroup << " version=" << mPreparing << " epoch="
-       << mSamples[0]->mState.mEpoch << " largestLoadBefore=" << before
-       << " largestLoadAfter=" << after);
+       << mOwn->mGroup << " version=" << mPreparing
+       << " epoch=" << mSamples[0]->mState.mEpoch
+       << " largestLoadBefore=" << before << " largestLoadAfter=" << after);
   for (size_t rank = 0; rank < mSamples.size(); ++rank) {
     SendPrepare(rank);
   }
@@ -423,8 +422,8 @@
   }
   const bool isReplaced = mHighestVersion > mPreparing;
   if (isReplaced || now >= mPrepareDeadline) {
-    LOGW("The map is given up. version=" << mPreparing << " replaced="
-                                         << isReplaced);
+    LOGW("The map is given up. version=" << mPreparing
+                                         << " replaced=" << isReplaced);
     mPreparing = 0;
     return;
   }
@@ -491,9 +490,9 @@
                    if (!mChange || id != mChangeId) {
                      return;
                    }
-                   mChange->HandleView(
-                     rank, aSample ? std::optional(aSample->mState)
-                                   : std::nullopt);
+                   mChange->HandleView(rank,
+                                       aSample ? std::optional(aSample->mState)
+                                               : std::nullopt);
                    Pump();
                  });
     return;
@@ -523,10 +522,9 @@
     mReleasedStep = mChangeStep;
   }
   LOGI("Change of the expert map "
-       << (isDone ? "is armed" : "came to nothing")
-       << ". group=" << mOwn->mGroup << " version=" << mPreparing
-       << " step=" << mChangeStep << " end=" << mChange->PhaseName()
-       << " milliseconds=" << took);
+       << (isDone ? "is armed" : "came to nothing") << ". group="
+       << mOwn->mGroup << " version=" << mPreparing << " step=" << mChangeStep
+       << " end=" << mChange->PhaseName() << " milliseconds=" << took);
   mMetrics.Count("beryllever_map_changes",
                  { { "outcome", isDone ? "armed" : "failed" } });
   mMetrics.Sample("beryllever_map_change_milliseconds",
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -29,10 +29,7 @@
   bool MayLead() const { return mMayLead; }
   /** What this process knows of its own rank and its engines. */
   void SetRank(const RankState& aState);
-  void SetEngine(const published::EngineProfile& aEngine)
-  {
-    mEngine = aEngine;
-  }
+  void SetEngine(const published::EngineProfile& aEngine) { mEngine = aEngine; }
 
 private:
   bool IsLead() const;
--- a/src/rankagent/internal/groupport.h
+++ b/src/rankagent/internal/groupport.h
@@ -29,7 +29,9 @@
   virtual std::vector<uint32_t> LiveRanks() const = 0;
   /** Those of them that may lead. */
   virtual std::vector<uint32_t> LiveLeads() const = 0;
-  virtual void Sample(uint32_t aRank, bool aWantsCounts, OnSample aOnSample) = 0;
+  virtual void Sample(uint32_t aRank,
+                      bool aWantsCounts,
+                      OnSample aOnSample) = 0;
   virtual void Order(uint32_t aRank,
                      const RankOrder& aOrder,
                      OnOutcome aOnOutcome) = 0;
--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -222,8 +222,8 @@
 void
 MapChange::HandleArmView(size_t aRank, const RankState& aView)
 {
-  const bool isArmed = aView.mArmedVersion == mPlan.mVersion &&
-                       aView.mArmedStep == mPlan.mStep;
+  const bool isArmed =
+    aView.mArmedVersion == mPlan.mVersion && aView.mArmedStep == mPlan.mStep;
   const bool mayArm =
     aView.mArmedVersion == 0 && aView.mPreparedVersion == mPlan.mVersion &&
     aView.mStep < mPlan.mStep && mProgress[aRank].mTries < kMaxTries;
@@ -281,9 +281,9 @@
 std::string_view
 MapChange::PhaseName() const
 {
-  constexpr std::string_view kNames[] = { "hold",      "arm",     "clear",
-                                          "release",   "succeeded",
-                                          "cleared", "failed" };
+  constexpr std::string_view kNames[] = { "hold",    "arm",       "clear",
+                                          "release", "succeeded", "cleared",
+                                          "failed" };
   return kNames[static_cast<size_t>(mPhase)];
 }
 
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -141,10 +141,10 @@
   load.reset();
   if (mRank) {
     mLeader.SetRank(*mRank);
-    load = mesh::EndpointLoad{ mEndpointAddress, mRank->mRequests,
-                               mRank->mIsOpen,   mRank->mGroup,
-                               mRank->mRank,     mRank->mSize,
-                               mLeader.MayLead() };
+    load =
+      mesh::EndpointLoad{ mEndpointAddress, mRank->mRequests, mRank->mIsOpen,
+                          mRank->mGroup,    mRank->mRank,     mRank->mSize,
+                          mLeader.MayLead() };
   }
 }
 
@@ -276,14 +276,13 @@
         aOnSample(std::move(sample));
         return;
       }
-      mEngine.ReadCounts(
-        [this, sample, aOnSample](
-          const std::optional<ExpertCounts>& aCounts) mutable {
-          if (aCounts && aCounts->mEpoch == sample.mState.mEpoch) {
-            sample.mCounts = aCounts->mCounts;
-          }
-          FinishSample(std::move(sample), aOnSample);
-        });
+      mEngine.ReadCounts([this, sample, aOnSample](
+                           const std::optional<ExpertCounts>& aCounts) mutable {
+        if (aCounts && aCounts->mEpoch == sample.mState.mEpoch) {
+          sample.mCounts = aCounts->mCounts;
+        }
+        FinishSample(std::move(sample), aOnSample);
+      });
     });
 }
 
--- a/src/rankagent/internal/rankservice.cpp
+++ b/src/rankagent/internal/rankservice.cpp
@@ -144,12 +144,11 @@
 {
   grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
   transport::Post(mContext, [this, aRequest, aReply, reactor] {
-    mOwner.OrderOwn(
-      Read(*aRequest), [aReply, reactor](OrderOutcome aOutcome) {
-        aReply->set_is_taken(aOutcome == OrderOutcome::Taken);
-        aReply->set_is_refused(aOutcome == OrderOutcome::Refused);
-        reactor->Finish(grpc::Status::OK);
-      });
+    mOwner.OrderOwn(Read(*aRequest), [aReply, reactor](OrderOutcome aOutcome) {
+      aReply->set_is_taken(aOutcome == OrderOutcome::Taken);
+      aReply->set_is_refused(aOutcome == OrderOutcome::Refused);
+      reactor->Finish(grpc::Status::OK);
+    });
   });
   return reactor;
 }
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -304,8 +304,7 @@
     bool isPrepared = true;
     for (const RankState& read : reads) {
       held = held == 0 ? read.mHeldStep : held;
-      highest =
-        std::max({ highest, read.mMapVersion, read.mPreparedVersion });
+      highest = std::max({ highest, read.mMapVersion, read.mPreparedVersion });
       isPrepared = isPrepared &&
                    read.mPreparedVersion == VersionAbove(0, aLead) &&
                    read.mArmedVersion == 0;
@@ -361,9 +360,9 @@
            aLead,
            command.mRank,
            isTaken ? OrderOutcome::Taken : OrderOutcome::Refused);
-    const OrderOutcome unanswered =
-      mLimits.mFault == Fault::TrustsSilence ? OrderOutcome::Taken
-                                             : OrderOutcome::Unknown;
+    const OrderOutcome unanswered = mLimits.mFault == Fault::TrustsSilence
+                                      ? OrderOutcome::Taken
+                                      : OrderOutcome::Unknown;
     if (aWorld.mLostLeft > 0) {
       World world = Without(aWorld, aLead, aIndex);
       CarryOut(world, command, mLimits.mFault);
--- a/src/rebalancing/internal/layerplanner.cpp
+++ b/src/rebalancing/internal/layerplanner.cpp
@@ -80,9 +80,9 @@
 
   bool TakeBestStep()
   {
-    const Rank hottest = static_cast<Rank>(
-      std::max_element(mRankLoads.begin(), mRankLoads.end()) -
-      mRankLoads.begin());
+    const Rank hottest =
+      static_cast<Rank>(std::max_element(mRankLoads.begin(), mRankLoads.end()) -
+                        mRankLoads.begin());
     mBefore = mRankLoads[hottest];
     mBestGain = mBefore * mLimits.mMinGain;
     mBest.reset();
@@ -177,7 +177,8 @@
       }
     }
     worst = std::max({ worst, hot, target });
-    const double gain = (mBefore - worst) / std::max(kFreeStep, Copies(aHottest, aStep));
+    const double gain =
+      (mBefore - worst) / std::max(kFreeStep, Copies(aHottest, aStep));
     if (gain > mBestGain) {
       mBestGain = gain;
       mBest = aStep;
--- a/src/rebalancing/layerplanner.h
+++ b/src/rebalancing/layerplanner.h
@@ -4,7 +4,8 @@
 
 namespace beryllever::rebalancing {
 
-/** Experts that each rank holds in one layer; ranks may hold unequal numbers. */
+/** Experts that each rank holds in one layer; ranks may hold unequal numbers.
+ */
 using RankLists = std::vector<std::vector<Expert>>;
 
 /** What one change of a layer's placement may bring. */
