Weigh ranks and endpoints by their pace

Change: agents report the engine's pace; the planner counts a rank's load times its pace, gateways send less to slow endpoints.

--- a/src/gateway/endpointledger.h
+++ b/src/gateway/endpointledger.h
@@ -20,6 +20,8 @@
   int mRequests = 0;
   /** Whether its group takes work. */
   bool mIsOpen = true;
+  /** How many times longer than usual the endpoint takes. */
+  double mPace = 1;
   /** When this process got the report. */
   global::TimePoint mTaken{};
 };
--- a/src/gateway/internal/endpointledger.cpp
+++ b/src/gateway/internal/endpointledger.cpp
@@ -82,7 +82,8 @@
     }
     const bool isOtherZone =
       endpoint->mAvailabilityZone != aWish.mAvailabilityZone;
-    const double score = requests / endpoint->mSlots +
+    const double pace = load.mReport ? std::max(1.0, load.mReport->mPace) : 1.0;
+    const double score = (requests + 1) * pace / endpoint->mSlots +
                          FailureScore(load) * kFailureWeight +
                          (now < load.mAvoidedUntil ? 2 : 0) +
                          (isOtherZone ? kOtherZoneWeight : 0) + jitter(mRandom);
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -269,7 +269,8 @@
 {
   mTraffic.TakeLoad(net::ParseTcpAddress(aLoad.mEndpointAddress),
                     aLoad.mRequests,
-                    aLoad.mIsOpen);
+                    aLoad.mIsOpen,
+                    aLoad.mPace);
 }
 
 void
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -138,12 +138,13 @@
 void
 TrafficCore::TakeLoad(const net::TcpAddress& aEndpoint,
                       int aRequests,
-                      bool aIsOpen)
+                      bool aIsOpen,
+                      double aPace)
 {
   for (const auto& [id, endpoint] : mTraffic.mSnapshot->AllEndpoints()) {
     if (endpoint.mAddress == aEndpoint) {
       mTraffic.mLedger.TakeReport(
-        id, { aRequests, aIsOpen, mTraffic.mClock.Now() });
+        id, { aRequests, aIsOpen, aPace, mTraffic.mClock.Now() });
     }
   }
   mTraffic.Wake();
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -22,7 +22,10 @@
   bool Listen(const net::TcpAddress& aAddress);
   void BeginLeaving();
   void EndIntake();
-  void TakeLoad(const net::TcpAddress& aEndpoint, int aRequests, bool aIsOpen);
+  void TakeLoad(const net::TcpAddress& aEndpoint,
+                int aRequests,
+                bool aIsOpen,
+                double aPace);
   Traffic& State() { return mTraffic; }
 
 private:
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -69,10 +69,11 @@
 void
 TrafficServer::TakeLoad(const net::TcpAddress& aEndpoint,
                         int aRequests,
-                        bool aIsOpen)
+                        bool aIsOpen,
+                        double aPace)
 {
-  transport::Post(&mContext, [this, aEndpoint, aRequests, aIsOpen] {
-    mCore->TakeLoad(aEndpoint, aRequests, aIsOpen);
+  transport::Post(&mContext, [this, aEndpoint, aRequests, aIsOpen, aPace] {
+    mCore->TakeLoad(aEndpoint, aRequests, aIsOpen, aPace);
   });
 }
 
--- a/src/gateway/tests/endpointledgertest.cpp
+++ b/src/gateway/tests/endpointledgertest.cpp
@@ -107,8 +107,8 @@
 {
   const auto snapshot =
     SnapshotOf({ EndpointNamed("busy"), EndpointNamed("free", "b") });
-  mLedger.TakeReport("busy", { 4, true, mClock.Now() });
-  mLedger.TakeReport("free", { 1, true, mClock.Now() });
+  mLedger.TakeReport("busy", { 4, true, 1, mClock.Now() });
+  mLedger.TakeReport("free", { 1, true, 1, mClock.Now() });
 
   STRCMP_EQUAL("free", mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
 }
@@ -116,7 +116,7 @@
 TEST(EndpointLedger, TrustsNoOldReport)
 {
   const auto snapshot = SnapshotOf({ EndpointNamed("x") });
-  mLedger.TakeReport("x", { 100, false, mClock.Now() });
+  mLedger.TakeReport("x", { 100, false, 1, mClock.Now() });
   CHECK(mLedger.Choose(*snapshot, mWish).mChoice == Choice::Full);
 
   mClock.Advance(std::chrono::seconds(2));
@@ -138,3 +138,14 @@
 
   STRCMP_EQUAL("x", mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
 }
+
+TEST(EndpointLedger, SendsLessToAnEndpointThatHasTurnedSlow)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("slow"), EndpointNamed("usual", "b") });
+  mLedger.TakeReport("slow", { 1, true, 5, mClock.Now() });
+  mLedger.TakeReport("usual", { 2, true, 1, mClock.Now() });
+
+  STRCMP_EQUAL("usual",
+               mLedger.Choose(*snapshot, mWish).mEndpoint->mId.c_str());
+}
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -38,7 +38,10 @@
   void SetSnapshot(std::shared_ptr<const published::Snapshot> aSnapshot);
   void SetBounds(const SiteBounds& aBounds, int aGateways);
   /** Load of the endpoint with this address, as its agent reports it. */
-  void TakeLoad(const net::TcpAddress& aEndpoint, int aRequests, bool aIsOpen);
+  void TakeLoad(const net::TcpAddress& aEndpoint,
+                int aRequests,
+                bool aIsOpen,
+                double aPace);
   /** Answers from now on tell callers to close their connections. */
   void BeginLeaving();
   /** Takes no more requests; those that are here run to their end. */
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -23,6 +23,7 @@
     load.set_rank(aMember.mLoad->mRank);
     load.set_group_size(aMember.mLoad->mGroupSize);
     load.set_may_lead(aMember.mLoad->mMayLead);
+    load.set_pace(aMember.mLoad->mPace);
   }
 }
 
@@ -45,7 +46,8 @@
                                  aMessage.load().group(),
                                  aMessage.load().rank(),
                                  aMessage.load().group_size(),
-                                 aMessage.load().may_lead() };
+                                 aMessage.load().may_lead(),
+                                 aMessage.load().pace() };
   }
   return member;
 }
--- a/src/mesh/meshtypes.h
+++ b/src/mesh/meshtypes.h
@@ -23,6 +23,8 @@
   uint32_t mGroupSize = 0;
   /** Whether the agent may lead its group. */
   bool mMayLead = false;
+  /** How many times longer than usual the endpoint takes. */
+  double mPace = 1;
 };
 
 /** One process of the system, in its own words or passed on by others. */
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -332,6 +332,10 @@
     { static_cast<size_t>(mEngine->mPlacesPerRank),
       static_cast<size_t>(mEngine->mSparePerRank),
       kMinGainPerCopy });
+  rebalancing::Paces paces;
+  for (const auto& sample : mSamples) {
+    paces.push_back(std::max(1.0, sample->mState.mPace));
+  }
   ExpertMap planned;
   for (size_t layer = 0; layer < aCurrent.size(); ++layer) {
     rebalancing::RankLists lists;
@@ -339,9 +343,9 @@
       lists.emplace_back(experts.begin(), experts.end());
     }
     const rebalancing::Loads& loads = mPopularity[layer].Smoothed();
-    const rebalancing::RankLists better = planner.Improve(lists, loads);
-    aBefore += rebalancing::LargestLoad(lists, loads);
-    aAfter += rebalancing::LargestLoad(better, loads);
+    const rebalancing::RankLists better = planner.Improve(lists, loads, paces);
+    aBefore += rebalancing::LargestLoad(lists, loads, paces);
+    aAfter += rebalancing::LargestLoad(better, loads, paces);
     planned.emplace_back();
     for (const auto& experts : better) {
       planned.back().emplace_back(experts.begin(), experts.end());
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -142,9 +142,9 @@
   if (mRank) {
     mLeader.SetRank(*mRank);
     load =
-      mesh::EndpointLoad{ mEndpointAddress, mRank->mRequests, mRank->mIsOpen,
-                          mRank->mGroup,    mRank->mRank,     mRank->mSize,
-                          mLeader.MayLead() };
+      mesh::EndpointLoad{ mEndpointAddress,  mRank->mRequests, mRank->mIsOpen,
+                          mRank->mGroup,     mRank->mRank,     mRank->mSize,
+                          mLeader.MayLead(), mRank->mPace };
   }
 }
 
--- a/src/rankagent/internal/rankservice.cpp
+++ b/src/rankagent/internal/rankservice.cpp
@@ -38,6 +38,7 @@
   aMessage.set_size(state.mSize);
   aMessage.set_is_open(state.mIsOpen);
   aMessage.set_is_busy(state.mIsBusy);
+  aMessage.set_pace(state.mPace);
   aMessage.set_step(state.mStep);
   aMessage.set_map_version(state.mMapVersion);
   aMessage.set_prepared_version(state.mPreparedVersion);
@@ -64,6 +65,7 @@
                     .mRank = aMessage.rank(),
                     .mSize = aMessage.size(),
                     .mIsOpen = aMessage.is_open(),
+                    .mPace = aMessage.pace(),
                     .mIsBusy = aMessage.is_busy(),
                     .mStep = aMessage.step(),
                     .mMapVersion = aMessage.map_version(),
--- a/src/rankagent/ranktypes.h
+++ b/src/rankagent/ranktypes.h
@@ -15,6 +15,8 @@
   uint32_t mRank = 0;
   uint32_t mSize = 0;
   bool mIsOpen = false;
+  /** How many times longer than usual the rank takes. */
+  double mPace = 1;
   /** Whether an order is being carried out. */
   bool mIsBusy = false;
   /** Last pass that was begun. */
--- a/src/rebalancing/internal/layerplanner.cpp
+++ b/src/rebalancing/internal/layerplanner.cpp
@@ -18,6 +18,12 @@
   return std::find(aList.begin(), aList.end(), aExpert) != aList.end();
 }
 
+double
+PaceOf(const Paces& aPaces, Rank aRank)
+{
+  return aPaces.empty() ? 1 : aPaces[aRank];
+}
+
 /** One replacement: an expert comes to the target, and experts may go. */
 struct Step
 {
@@ -37,10 +43,12 @@
 public:
   LayerSearch(const LayerLimits& aLimits,
               const RankLists& aCurrent,
-              const Loads& aLoads)
+              const Loads& aLoads,
+              const Paces& aPaces)
     : mLimits(aLimits)
     , mCurrent(aCurrent)
     , mLoads(aLoads)
+    , mPaces(aPaces)
     , mLists(aCurrent)
     , mHolders(aLoads.size())
     , mRankLoads(aCurrent.size(), 0)
@@ -68,12 +76,18 @@
     return mLoads[aExpert] / static_cast<double>(aHolders);
   }
 
+  /** Time that a load takes at a rank. */
+  double At(Rank aRank, double aLoad) const
+  {
+    return aLoad * PaceOf(mPaces, aRank);
+  }
+
   void Recompute()
   {
     std::fill(mRankLoads.begin(), mRankLoads.end(), 0.0);
     for (Rank rank = 0; rank < mLists.size(); ++rank) {
       for (const Expert expert : mLists[rank]) {
-        mRankLoads[rank] += ShareOf(expert, mHolders[expert].size());
+        mRankLoads[rank] += At(rank, ShareOf(expert, mHolders[expert].size()));
       }
     }
   }
@@ -155,23 +169,24 @@
     const double before = ShareOf(aStep.mExpert, holders);
     const double after =
       aStep.mIsMove ? before : ShareOf(aStep.mExpert, holders + 1);
-    double hot = mRankLoads[aHottest] - before + (aStep.mIsMove ? 0 : after);
-    double target = mRankLoads[aStep.mTarget] + after;
+    double hot =
+      mRankLoads[aHottest] - At(aHottest, before - (aStep.mIsMove ? 0 : after));
+    double target = mRankLoads[aStep.mTarget] + At(aStep.mTarget, after);
     double worst = 0;
     if (aStep.mDropped) {
       const Expert dropped = *aStep.mDropped;
       const size_t n = mHolders[dropped].size();
       const double share = ShareOf(dropped, n);
-      target -= share;
+      target -= At(aStep.mTarget, share);
       if (aStep.mIsSwap) {
-        hot += share;
+        hot += At(aHottest, share);
       } else {
         const double more = ShareOf(dropped, n - 1) - share;
         for (const Rank rank : mHolders[dropped]) {
           if (rank == aHottest) {
-            hot += more;
+            hot += At(aHottest, more);
           } else if (rank != aStep.mTarget) {
-            worst = std::max(worst, mRankLoads[rank] + more);
+            worst = std::max(worst, mRankLoads[rank] + At(rank, more));
           }
         }
       }
@@ -217,6 +232,7 @@
   const LayerLimits& mLimits;
   const RankLists& mCurrent;
   const Loads& mLoads;
+  const Paces& mPaces;
   RankLists mLists;
   std::vector<std::vector<Rank>> mHolders;
   std::vector<double> mRankLoads;
@@ -230,7 +246,7 @@
 }
 
 double
-LargestLoad(const RankLists& aLists, const Loads& aLoads)
+LargestLoad(const RankLists& aLists, const Loads& aLoads, const Paces& aPaces)
 {
   std::vector<size_t> holders(aLoads.size(), 0);
   for (const auto& list : aLists) {
@@ -239,12 +255,12 @@
     }
   }
   double largest = 0;
-  for (const auto& list : aLists) {
+  for (Rank rank = 0; rank < aLists.size(); ++rank) {
     double load = 0;
-    for (const Expert expert : list) {
+    for (const Expert expert : aLists[rank]) {
       load += aLoads[expert] / static_cast<double>(holders[expert]);
     }
-    largest = std::max(largest, load);
+    largest = std::max(largest, load * PaceOf(aPaces, rank));
   }
   return largest;
 }
@@ -255,9 +271,11 @@
 }
 
 RankLists
-LayerPlanner::Improve(const RankLists& aCurrent, const Loads& aLoads) const
+LayerPlanner::Improve(const RankLists& aCurrent,
+                      const Loads& aLoads,
+                      const Paces& aPaces) const
 {
-  return LayerSearch(mLimits, aCurrent, aLoads).Run();
+  return LayerSearch(mLimits, aCurrent, aLoads, aPaces).Run();
 }
 
 }
--- a/src/rebalancing/layerplanner.h
+++ b/src/rebalancing/layerplanner.h
@@ -19,10 +19,15 @@
   double mMinGain = 0.002;
 };
 
-/** Load of the most loaded rank, with an expert's load shared evenly by the
- * ranks that hold it. */
+/** How many times longer than usual each rank takes; empty: none does. */
+using Paces = std::vector<double>;
+
+/** Time that the slowest rank takes in units of load, with an expert's load
+ * shared evenly by the ranks that hold it. */
 double
-LargestLoad(const RankLists& aLists, const Loads& aLoads);
+LargestLoad(const RankLists& aLists,
+            const Loads& aLoads,
+            const Paces& aPaces = {});
 
 /**
  * Lowers the load of the most loaded rank of one layer by replicas, moves and
@@ -33,7 +38,9 @@
 public:
   explicit LayerPlanner(const LayerLimits& aLimits);
 
-  RankLists Improve(const RankLists& aCurrent, const Loads& aLoads) const;
+  RankLists Improve(const RankLists& aCurrent,
+                    const Loads& aLoads,
+                    const Paces& aPaces = {}) const;
 
 private:
   const LayerLimits mLimits;
--- a/src/rebalancing/tests/layerplannertest.cpp
+++ b/src/rebalancing/tests/layerplannertest.cpp
@@ -88,3 +88,17 @@
     CHECK(LargestLoad(lists, loads) < 1.3 * mean);
   }
 }
+
+TEST(LayerPlanner, TakesLoadOffARankThatHasTurnedSlow)
+{
+  const LayerPlanner planner(kLimits);
+  const Loads loads(kExperts, 10);
+  Paces paces(kRanks, 1);
+  paces[3] = 5;
+  RankLists lists = InTurn();
+  const double before = LargestLoad(lists, loads, paces);
+  for (int i = 0; i < 3; ++i) {
+    lists = planner.Improve(lists, loads, paces);
+  }
+  CHECK(LargestLoad(lists, loads, paces) < 0.5 * before);
+}
