--- a/src/framework/log/tests/boundedappendertest.cpp
+++ b/src/framework/log/tests/boundedappendertest.cpp
@@ -12,9 +12,12 @@
 
 TEST_GROUP(BoundedAppender)
 {
-  log4cplus::Initializer mInitializer;
   std::array<int, 2> mPipe{};
-  log4cplus::Logger mLogger = log4cplus::Logger::getInstance("test");
+
+  static log4cplus::Logger Logger()
+  {
+    return log4cplus::Logger::getInstance("test");
+  }
 
   void setup() override
   {
@@ -36,11 +39,11 @@
 TEST(BoundedAppender, WritesLinesInTheirOrder)
 {
   log4cplus::SharedAppenderPtr appender(new log::BoundedAppender(mPipe[1]));
-  mLogger.addAppender(appender);
+  Logger().addAppender(appender);
 
-  LOG4CPLUS_INFO(mLogger, "one");
-  LOG4CPLUS_INFO(mLogger, "two");
-  mLogger.removeAllAppenders();
+  LOG4CPLUS_INFO(Logger(), "one");
+  LOG4CPLUS_INFO(Logger(), "two");
+  Logger().removeAllAppenders();
   appender->close();
   close(mPipe[1]);
 
@@ -55,16 +58,16 @@
   constexpr int kLines = 20000;
   log4cplus::SharedAppenderPtr appender(
     new log::BoundedAppender(mPipe[1], kMaxLines));
-  mLogger.addAppender(appender);
+  Logger().addAppender(appender);
   const auto began = std::chrono::steady_clock::now();
 
   // Nobody reads the pipe, which holds 64 KiB.
   for (int i = 0; i < kLines; ++i) {
-    LOG4CPLUS_INFO(mLogger, std::string(1000, 'x'));
+    LOG4CPLUS_INFO(Logger(), std::string(1000, 'x'));
   }
 
   CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(5));
-  mLogger.removeAllAppenders();
+  Logger().removeAllAppenders();
   std::thread closer([&] {
     appender->close();
     close(mPipe[1]);
