--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -59,6 +59,10 @@
         const std::string& aKind,
         const CommonOptions& aCommon);
 int
+ExplainRequest(const std::string& aRequestId,
+               const std::vector<std::string>& aFiles,
+               const CommonOptions& aCommon);
+int
 Trace(const std::string& aCollector,
       const std::string& aTraceId,
       const CommonOptions& aCommon);
--- a/src/cli/internal/commands.cpp
+++ b/src/cli/internal/commands.cpp
@@ -156,6 +156,21 @@
   });
 }
 
+void
+AddExplainRequest(CLI::App& aApp, CommonOptions& aCommon, int& aExitCode)
+{
+  auto request = std::make_shared<std::string>();
+  auto files = std::make_shared<std::vector<std::string>>();
+  CLI::App* command = aApp.add_subcommand(
+    "explain-request", "Walk from a request's id to its cause through logs");
+  command->add_option("request", *request, "Id of the request")->required();
+  command->add_option("logs", *files, "Log files of any processes")->required();
+  command->footer("Example: beryllever explain-request 9c41d07be2a35f68 *.log");
+  command->callback([=, &aCommon, &aExitCode] {
+    aExitCode = ExplainRequest(*request, *files, aCommon);
+  });
+}
+
 }
 
 void
@@ -169,6 +184,7 @@
   AddSend(aApp, aCommon, aExitCode);
   AddStatus(aApp, aCommon, aExitCode);
   AddExplain(aApp, aCommon, aExitCode);
+  AddExplainRequest(aApp, aCommon, aExitCode);
   AddTrace(aApp, aCommon, aExitCode);
 }
 
