Call nothing of an execution that has ended when its back end does

Cause: scenario_wholeanswer was red once and not traced. With the logs that the scenario program now prints after a failure, a run beside busy processes showed an agent that had died of "malloc_consolidate(): invalid chunk size"; AddressSanitizer named a use after free in Execution::HandleEnd. Conclude handed its HTTP call to deleteLater with the functions still set. The end of the back end's answer, queued between the release of the execution and the deletion of the call, ran on freed memory, and without a call.

Change: HttpCall::Release clears the functions and then deletes the call; the call copies a function before it runs it. The scenario program prints the last lines of each log after a failure.

--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -317,9 +317,9 @@
   mEvents.mOnEnd(aResult);
   mStream->SetOnTaken(nullptr);
   mStream->SetOnGone(nullptr);
-  // The call may be running this function.
+  // The call may be running this function, and outlives the execution.
   if (mCall) {
-    mCall.release()->deleteLater();
+    net::HttpCall::Release(std::move(mCall));
   }
 }
 
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -71,6 +71,10 @@
     mOnEnd = std::move(aOnEnd);
   }
 
+  /** Cancels a call; none of its functions is called any more. May be used
+   * inside them. */
+  static void Release(std::unique_ptr<HttpCall> aCall);
+
   int Status() const;
   Headers AllHeaders() const;
   QByteArray Read(qint64 aMax);
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -58,8 +58,8 @@
   mReply = aManager.sendCustomRequest(request, aRequest.mMethod, mBody.get());
   mReply->setReadBufferSize(aRequest.mReadBufferBytes);
   connect(mReply, &QNetworkReply::readyRead, this, [this] {
-    if (mOnReadable) {
-      mOnReadable();
+    if (const auto onReadable = mOnReadable) {
+      onReadable();
     }
   });
   connect(mReply, &QNetworkReply::finished, this, [this] { Finish(); });
@@ -120,12 +120,19 @@
   outcome.mReason = mIsTimedOut
                       ? QStringLiteral("no answer within the time limit")
                       : mReply->errorString();
-  if (mOnEnd) {
-    const auto onEnd = mOnEnd;
+  if (const auto onEnd = mOnEnd) {
     onEnd(outcome);
   }
 }
 
+void
+HttpCall::Release(std::unique_ptr<HttpCall> aCall)
+{
+  aCall->mOnReadable = nullptr;
+  aCall->mOnEnd = nullptr;
+  aCall.release()->deleteLater();
+}
+
 void
 Fetch(QNetworkAccessManager& aManager,
       const HttpCallRequest& aRequest,
--- a/tests/host/bench.cpp
+++ b/tests/host/bench.cpp
@@ -17,6 +17,8 @@
 
 constexpr int kExitTimeoutMilliseconds = 20000;
 constexpr int kRunTimeoutMilliseconds = 60000;
+/** Lines of each log that are printed after a failure. */
+constexpr qsizetype kPrintedLogLines = 60;
 
 int
 SignalNumber(const QString& aName)
@@ -212,6 +214,20 @@
   return QString::fromUtf8(file.readAll());
 }
 
+void
+Bench::PrintLogs()
+{
+  for (const auto& [name, process] : mProcesses) {
+    const QStringList lines = output(name).trimmed().split('\n');
+    const QStringList last =
+      lines.mid(std::max<qsizetype>(0, lines.size() - kPrintedLogLines));
+    std::fprintf(stderr,
+                 "--- last lines of %s\n%s\n",
+                 qPrintable(name),
+                 qPrintable(last.join('\n')));
+  }
+}
+
 QVariantMap
 Bench::run(const QString& aProgram, const QStringList& aArguments)
 {
--- a/tests/host/bench.h
+++ b/tests/host/bench.h
@@ -68,6 +68,9 @@
 
   // NOLINTEND(readability-identifier-naming)
 
+  /** Prints the last lines of each process's log, for a script that failed. */
+  void PrintLogs();
+
 private:
   struct Request
   {
--- a/tests/host/main.cpp
+++ b/tests/host/main.cpp
@@ -69,5 +69,8 @@
   engine.globalObject().setProperty("scriptArguments",
                                     engine.toScriptValue(arguments.mid(2)));
   const bool isGood = RunScript(engine, scripts + "/language.js", arguments[1]);
+  if (!isGood) {
+    bench.PrintLogs();
+  }
   return isGood ? 0 : 1;
 }
