Answer calls that have arrived while the gRPC server stops

A stopped gateway's log ends with "All work has ended; the process exits" five seconds earlier. Services answer on the control thread; the event loop had ended by the time that the server shut down, so a call that had just arrived was never answered and the server waited for it for ever.

Change: the server shuts down on a thread of its own while the control thread goes on handling events.

Before: GrpcServer.StopsWhileACallWaitsForTheControlThread takes too long (watchdog, 5 s).

--- a/src/transport/internal/grpcserver.cpp
+++ b/src/transport/internal/grpcserver.cpp
@@ -1,5 +1,8 @@
 #include "transport/grpcserver.h"
 
+#include <QCoreApplication>
+#include <future>
+
 namespace beryllever::transport {
 
 namespace {
@@ -8,7 +11,9 @@
 constexpr int kMinPingIntervalMilliseconds = 1000;
 constexpr int kKeepaliveMilliseconds = 5000;
 constexpr int kKeepaliveTimeoutMilliseconds = 2000;
+/** Time in which calls may end by themselves when the process stops. */
 constexpr std::chrono::milliseconds kStopTime{ 200 };
+constexpr std::chrono::milliseconds kStopPoll{ 5 };
 
 }
 
@@ -51,9 +56,16 @@
 void
 GrpcServer::Stop()
 {
-  if (mServer) {
-    mServer->Shutdown(std::chrono::system_clock::now() + kStopTime);
-    mServer.reset();
+  if (!mServer) {
+    return;
+  }
+  // Calls that have arrived wait for this thread, and the server for them.
+  const auto stopped =
+    std::async(std::launch::async, [server = std::move(mServer)] {
+      server->Shutdown(std::chrono::system_clock::now() + kStopTime);
+    });
+  while (stopped.wait_for(kStopPoll) != std::future_status::ready) {
+    QCoreApplication::processEvents();
   }
 }
 
