Tell callers of a forming group when to come back; end stopped processes

Change: where an engine has refused, callers come back after twice the time that its group takes to form, at most a third of the time they have. Change: the appender is removed (it writes what is pending and joins its thread) and the process leaves by quick_exit.

Also: admission and header fields leave exchange.cpp for files of their own.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <QCoreApplication>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -55,5 +56,7 @@
   log::Start(settings->VmName(), settings->LogLevel());
   const int code = app::Daemon(settings, path).Run();
   log::Stop();
-  return code;
+  // All work has ended and is logged. Static destructors of libraries wait for
+  // their threads, and have kept stopped processes alive.
+  std::quick_exit(code);
 }
--- a/src/framework/log/internal/log.cpp
+++ b/src/framework/log/internal/log.cpp
@@ -42,7 +42,8 @@
 void
 Stop()
 {
-  sInitializer.reset();
+  // The library's own end would wait for its thread pool, which is not used.
+  log4cplus::Logger::getRoot().removeAllAppenders();
 }
 
 }
--- /dev/null
+++ b/src/gateway/internal/admission.cpp
@@ -0,0 +1,56 @@
+#include "gateway/internal/admission.h"
+
+namespace beryllever::gateway {
+
+std::variant<Admission, Rejection>
+Admit(const published::Snapshot& aSnapshot,
+      const std::string& aHost,
+      std::string_view aPath,
+      const std::string& aKey)
+{
+  if (!aSnapshot.IsKnown()) {
+    return Rejection{ 503, "no configuration is known" };
+  }
+  Admission admission{ .mRoute = aSnapshot.FindRoute(aHost, aPath) };
+  if (admission.mRoute == nullptr) {
+    return Rejection{ 404, "no route" };
+  }
+  admission.mPriority = admission.mRoute->mPriority;
+  const published::Workspace* workspace =
+    aKey.empty() ? nullptr : aSnapshot.FindWorkspace(aKey);
+  if (workspace != nullptr) {
+    admission.mWorkspace = workspace->mName;
+    admission.mPriority = workspace->mPriority.value_or(admission.mPriority);
+    return admission;
+  }
+  if (aSnapshot.Tables().mHasWorkspaces &&
+      !admission.mRoute->mIsExemptFromKeys) {
+    return Rejection{ 401, "unknown key" };
+  }
+  return admission;
+}
+
+std::string
+DrawPool(const published::Route& aRoute, std::mt19937_64& aRandom)
+{
+  double sum = 0;
+  for (const auto& target : aRoute.mTargets) {
+    sum += target.mWeight;
+  }
+  std::uniform_real_distribution<double> draw(0, sum);
+  double left = draw(aRandom);
+  std::string pool;
+  for (const auto& target : aRoute.mTargets) {
+    if (target.mWeight <= 0) {
+      continue;
+    }
+    pool = target.mPool;
+    left -= target.mWeight;
+    if (left <= 0) {
+      break;
+    }
+  }
+  return pool;
+}
+
+}
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -1,9 +1,9 @@
 #include "gateway/internal/exchange.h"
 
 #include "framework/log/log.h"
+#include "gateway/internal/headerfields.h"
 
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 
 namespace beryllever::gateway {
 
@@ -33,39 +33,17 @@
 /** Bytes that may wait for a slow caller before the endpoint is held back. */
 constexpr size_t kMaxPending = 64 * 1024;
 constexpr milliseconds kDefaultTime{ 30000 };
+/** Time after which a full pool has probably a free place: a few answers. */
 constexpr milliseconds kRetryAfterFull{ 400 };
+/** Times that a group takes to form, after which one that refuses requests is
+ * probably open: it stalls before it forms. */
+constexpr int kFormTimes = 2;
+/** Share of the time left up to which callers wait as they are told. */
+constexpr int kRetryAfterShare = 3;
 constexpr milliseconds kRetryAfterUnknown{ 700 };
 /** Requests of one entry that may wait. */
 constexpr size_t kMaxWaiting = 64;
 
-/** Fields that concern one connection only. */
-constexpr std::array<std::string_view, 9> kConnectionFields{
-  "Connection",        "Keep-Alive", "Proxy-Connection",   "TE",    "Trailer",
-  "Transfer-Encoding", "Upgrade",    "Proxy-Authenticate", "Expect"
-};
-
-void
-EraseConnectionFields(http::fields& aFields)
-{
-  std::vector<std::string> named;
-  for (const auto& token : http::token_list(aFields[http::field::connection])) {
-    named.emplace_back(token);
-  }
-  for (const std::string& name : named) {
-    aFields.erase(name);
-  }
-  for (const std::string_view name : kConnectionFields) {
-    aFields.erase({ name.data(), name.size() });
-  }
-}
-
-std::string
-HostOf(const http::fields& aFields)
-{
-  const std::string host(aFields[http::field::host]);
-  return host.substr(0, host.rfind(':'));
-}
-
 }
 
 Exchange::Exchange(Traffic& aTraffic,
@@ -96,76 +74,38 @@
 Exchange::Start()
 {
   const auto self = shared_from_this();
-  if (!Admit()) {
+  if (!TakeAdmission()) {
     return;
   }
-  ChoosePool();
   SetDeadlines();
   mTraffic.RetriesOf(mPool).NoteRequest();
   Place();
 }
 
 bool
-Exchange::Admit()
-{
-  if (!mSnapshot->IsKnown()) {
-    AnswerOwn(503, "no configuration is known", kRetryAfterUnknown);
-    return false;
-  }
-  mRoute = mSnapshot->FindRoute(HostOf(mRequest.mFields), mRequest.Path());
-  if (mRoute == nullptr) {
-    AnswerOwn(404, "no route");
-    return false;
-  }
-  mPriority = mRoute->mPriority;
-  return CheckKey();
-}
-
-bool
-Exchange::CheckKey()
-{
-  const published::Workspace* workspace =
-    mFacts.mKey.empty() ? nullptr : mSnapshot->FindWorkspace(mFacts.mKey);
-  if (workspace != nullptr) {
-    mWorkspace = workspace->mName;
-    mPriority = workspace->mPriority.value_or(mPriority);
-    return true;
-  }
-  if (mSnapshot->Tables().mHasWorkspaces && !mRoute->mIsExemptFromKeys) {
-    AnswerOwn(401, "unknown key");
+Exchange::TakeAdmission()
+{
+  const auto verdict = gateway::Admit(
+    *mSnapshot, HostOf(mRequest.mFields), mRequest.Path(), mFacts.mKey);
+  if (const auto* rejection = std::get_if<Rejection>(&verdict)) {
+    const bool isForNow = rejection->mStatus == 503;
+    AnswerOwn(rejection->mStatus,
+              rejection->mReason,
+              isForNow ? std::optional(kRetryAfterUnknown) : std::nullopt);
     return false;
   }
+  mAdmission = std::get<Admission>(verdict);
+  mPool = DrawPool(*mAdmission.mRoute, mTraffic.mRandom);
   return true;
 }
 
-void
-Exchange::ChoosePool()
-{
-  double sum = 0;
-  for (const auto& target : mRoute->mTargets) {
-    sum += target.mWeight;
-  }
-  std::uniform_real_distribution<double> draw(0, sum);
-  double left = draw(mTraffic.mRandom);
-  for (const auto& target : mRoute->mTargets) {
-    if (target.mWeight <= 0) {
-      continue;
-    }
-    mPool = target.mPool;
-    left -= target.mWeight;
-    if (left <= 0) {
-      return;
-    }
-  }
-}
-
 void
 Exchange::SetDeadlines()
 {
   mHasCallerDeadline = mFacts.mTimeLeft.has_value();
   milliseconds time = mFacts.mTimeLeft.value_or(kDefaultTime);
-  if (mRoute->mTimeout.count() > 0) {
-    time = std::min(time, mRoute->mTimeout);
+  if (mAdmission.mRoute->mTimeout.count() > 0) {
+    time = std::min(time, mAdmission.mRoute->mTimeout);
   }
   mDeadline = mRequest.mArrival + time;
   const auto wait =
@@ -204,7 +144,7 @@
     return;
   }
   const std::weak_ptr<Exchange> weak = weak_from_this();
-  mTicket = mTraffic.Wait(mPriority, [weak] {
+  mTicket = mTraffic.Wait(mAdmission.mPriority, [weak] {
     if (const auto self = weak.lock()) {
       self->mTicket = 0;
       self->Place();
@@ -223,7 +163,7 @@
     AnswerOwn(502, aReason);
     return;
   }
-  AnswerOwn(503, aReason, RetryAfter(kRetryAfterFull));
+  AnswerOwn(503, aReason, RetryAfter());
 }
 
 void
@@ -236,8 +176,8 @@
   mTried.insert(aEndpoint.mId);
   ++mAttempts;
   mTraffic.mLedger.NoteSent(aEndpoint.mId);
-  mAttempt->mLease =
-    mTraffic.mConnections.Acquire(aEndpoint, !mRoute->IsRepeatable());
+  mAttempt->mLease = mTraffic.mConnections.Acquire(
+    aEndpoint, !mAdmission.mRoute->IsRepeatable());
   mAttemptTimer.start(kConnectTime);
   mAttempt->mLease.mConnection->Send(
     RequestText(aEndpoint), AnswerHandlers(), mRequest.mMethod == "HEAD");
@@ -252,7 +192,8 @@
     fields.set(http::field::content_length,
                std::to_string(mRequest.mBody.size()));
   }
-  AttemptFacts facts{ .mEndpointId = aEndpoint.mId, .mWorkspace = mWorkspace };
+  AttemptFacts facts{ .mEndpointId = aEndpoint.mId,
+                      .mWorkspace = mAdmission.mWorkspace };
   if (mHasCallerDeadline) {
     facts.mTimeLeft = std::max(milliseconds(1), Left());
   }
@@ -313,7 +254,7 @@
 bool
 Exchange::IsEventStream() const
 {
-  return mRoute->mKind == RouteKind::Streaming;
+  return mAdmission.mRoute->mKind == RouteKind::Streaming;
 }
 
 void
@@ -469,6 +410,7 @@
 Exchange::HandleNotRun()
 {
   mLastFailure = "endpoint refused, not run";
+  mWasRefused = true;
   LOGI("Endpoint refused the request. request="
        << mFacts.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
        << " status=" << mAttempt->mHead->mStatus << " blamed="
@@ -494,7 +436,7 @@
     mTried.erase(mAttempt->mEndpoint.mId);
   }
   DropAttempt(wasReused ? EndpointOutcome::Abandoned : EndpointOutcome::Failed);
-  if (!mRoute->IsRepeatable()) {
+  if (!mAdmission.mRoute->IsRepeatable()) {
     if (mHasBegunAnswer) {
       CutAnswer(aReason);
     } else {
@@ -508,14 +450,15 @@
 bool
 Exchange::MayAttemptAgain() const
 {
-  return static_cast<int>(mTried.size()) < mRoute->mMaxAttempts &&
-         mAttempts <= mRoute->mMaxAttempts && Left() > milliseconds(20);
+  return static_cast<int>(mTried.size()) < mAdmission.mRoute->mMaxAttempts &&
+         mAttempts <= mAdmission.mRoute->mMaxAttempts &&
+         Left() > milliseconds(20);
 }
 
 bool
 Exchange::MayRepeat() const
 {
-  return mRoute->IsRepeatable() && MayAttemptAgain() &&
+  return mAdmission.mRoute->IsRepeatable() && MayAttemptAgain() &&
          mTraffic.RetriesOf(mPool).TrySpend();
 }
 
@@ -654,7 +597,8 @@
   if (mTicket != 0) {
     mTraffic.StopWaiting(mTicket);
   }
-  const std::string route = mRoute == nullptr ? "" : mRoute->mName;
+  const std::string route =
+    mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
   LOGI("Ended. request=" << mFacts.mRequestId << " route=" << route
                          << " pool=" << mPool << " endpoint=" << mLastEndpoint
                          << " status=" << aStatus << " attempts=" << mAttempts
@@ -688,10 +632,16 @@
 }
 
 milliseconds
-Exchange::RetryAfter(milliseconds aUsual)
+Exchange::RetryAfter()
 {
+  const published::Pool* pool = mTraffic.mSnapshot->FindPool(mPool);
+  milliseconds usual = kRetryAfterFull;
+  if (mWasRefused && pool != nullptr && pool->mEngine) {
+    usual = std::max(usual, kFormTimes * pool->mEngine->mGroupFormTime);
+  }
   std::uniform_real_distribution<double> spread(0.7, 1.3);
-  return duration_cast<milliseconds>(aUsual * spread(mTraffic.mRandom));
+  return std::min(duration_cast<milliseconds>(usual * spread(mTraffic.mRandom)),
+                  std::max(milliseconds(0), Left()) / kRetryAfterShare);
 }
 
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -2,6 +2,7 @@
 
 #include "framework/net/httpserverconnection.h"
 #include "gateway/eventassembler.h"
+#include "gateway/internal/admission.h"
 #include "gateway/internal/traffic.h"
 
 #include <QTimer>
@@ -42,9 +43,8 @@
     global::TimePoint mSentAt{};
   };
 
-  bool Admit();
-  bool CheckKey();
-  void ChoosePool();
+  /** Whether the published tables let the request be served. */
+  bool TakeAdmission();
   void SetDeadlines();
   void Place();
   void WaitForTurn();
@@ -76,7 +76,8 @@
   void Finish(unsigned aStatus, const std::string& aOutcome);
   milliseconds Left() const;
   milliseconds Elapsed() const;
-  milliseconds RetryAfter(milliseconds aUsual);
+  /** When a caller whose request has not run had best come back. */
+  milliseconds RetryAfter();
 
   Traffic& mTraffic;
   std::shared_ptr<net::HttpServerConnection> mCaller;
@@ -84,10 +85,8 @@
   std::function<void()> mOnEnd;
   std::shared_ptr<const published::Snapshot> mSnapshot;
   RequestFacts mFacts;
-  const published::Route* mRoute = nullptr;
+  Admission mAdmission;
   std::string mPool;
-  std::string mWorkspace;
-  int mPriority = 0;
   /** When the caller or the operators want the request to be over. */
   global::TimePoint mDeadline{};
   bool mHasCallerDeadline = false;
@@ -98,6 +97,8 @@
   std::unique_ptr<Attempt> mAttempt;
   /** Some endpoint may have run the request, or may be running it. */
   bool mMayHaveRun = false;
+  /** An endpoint has said that it does not run the request. */
+  bool mWasRefused = false;
   bool mHasBegunAnswer = false;
   bool mIsOver = false;
   unsigned mAnsweredStatus = 0;
