Clear a dead lead's hold within the time that streams wait

Nobody else acted: others wait 2.5 s for its membership to expire, and a reading without the dead agent's rank clears nothing.

Change: the second lead acts as a deputy once its own rank's pass has not moved for 0.5 s: it reads the group, clears a hold that stays, and plans nothing. Ranks whose agent does not answer are read and ordered at their engine directly, for 1.5 s at a time.

The freeze itself is not helped: the engine on a frozen machine does not answer either (status 0 until it wakes), and only it can let the pass go. What is helped is an agent that dies or is cut off alone.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -45,6 +45,9 @@
 /** Passes between the one that runs and the one with the new map: the switch
  * takes three exchanges of messages, each shorter than a pass. */
 constexpr uint64_t kPassesAhead = 2;
+/** Time without a new pass after which the second lead looks whether the first
+ * one has left a hold; a pass takes about 0.1 s. */
+constexpr milliseconds kStandstill{ 500 };
 /** Time in which the agents hear which of them may lead. */
 constexpr milliseconds kSettle{ 600 };
 /** Passes beyond the one that runs that a lead may name. */
@@ -91,16 +94,29 @@
   if (!mOwn || mOwn->mGroup.empty() || mOwn->mSize < 2) {
     return false;
   }
-  const std::vector<uint32_t> leads = mPort.LiveLeads();
-  const bool isLowest =
-    std::all_of(leads.begin(), leads.end(), [this](uint32_t aRank) {
-      return aRank > mOwn->mRank;
-    });
   if (mMayLead) {
-    return isLowest && mClock.Now() - mMayLeadSince >= kSettle;
+    return (LeadsBefore() == 0 || IsDeputyNeeded()) &&
+           mClock.Now() - mMayLeadSince >= kSettle;
   }
   // Where no other can lead, this one at least clears what was left behind.
-  return leads.empty() && IsLowestLive();
+  return mPort.LiveLeads().empty() && IsLowestLive();
+}
+
+size_t
+GroupLeader::LeadsBefore() const
+{
+  const std::vector<uint32_t> leads = mPort.LiveLeads();
+  return static_cast<size_t>(
+    std::count_if(leads.begin(), leads.end(), [this](uint32_t aRank) {
+      return aRank < mOwn->mRank;
+    }));
+}
+
+bool
+GroupLeader::IsDeputyNeeded() const
+{
+  return LeadsBefore() == 1 && mOwn->mIsOpen && mOwn->mRequests > 0 &&
+         mClock.Now() - mStepSince >= kStandstill;
 }
 
 bool
@@ -128,6 +144,9 @@
     mMayLead = true;
     mMayLeadSince = mClock.Now();
   }
+  if (!mOwn || mOwn->mStep != aState.mStep) {
+    mStepSince = mClock.Now();
+  }
   mOwn = aState;
   UpdateInterval();
 }
@@ -216,7 +235,8 @@
   if (isArmed || !isOneMap) {
     return;
   }
-  if (!mMayLead) {
+  if (!mMayLead || LeadsBefore() > 0) {
+    mPreparing = 0;
     return;
   }
   if (mPreparing != 0) {
@@ -373,8 +393,9 @@
     return false;
   }
   const auto now = mClock.Now();
-  if (mHeldSince == global::TimePoint{}) {
+  if (mHeldSince == global::TimePoint{} || held != mHeldSeen) {
     mHeldSince = now;
+    mHeldSeen = held;
   }
   const uint64_t own = mSamples[mOwn->mRank]->mState.mHeldStep;
   // An order of an earlier life of this process may still let its hold go, so
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -36,6 +36,11 @@
 private:
   bool IsLead() const;
   bool IsLowestLive() const;
+  /** Live leads that go before this one. */
+  size_t LeadsBefore() const;
+  /** Whether the group stands still and this is the next lead: it clears a hold
+   * that the first one has left, but plans nothing. */
+  bool IsDeputyNeeded() const;
   void Tick();
   void BeginRound();
   void TakeSample(uint64_t aRound,
@@ -108,7 +113,10 @@
   uint64_t mChangeStep = 0;
   /** Pass that this lead has let go, or may have. */
   uint64_t mReleasedStep = 0;
+  uint64_t mHeldSeen = 0;
   global::TimePoint mHeldSince{};
+  /** When the own rank's present pass was first seen. */
+  global::TimePoint mStepSince{};
   global::TimePoint mNextPlan{};
 
   std::optional<MapChange> mChange;
--- /dev/null
+++ b/src/rankagent/internal/peerengines.cpp
@@ -0,0 +1,109 @@
+#include "rankagent/internal/peerengines.h"
+
+#include "framework/log/log.h"
+
+namespace beryllever::rankagent {
+
+namespace {
+
+constexpr char kLogTag[] = "rank";
+/** Time for which an agent that did not answer is not asked again; a frozen one
+ * is back within seconds. */
+constexpr std::chrono::milliseconds kPassOverTime{ 1500 };
+
+}
+
+PeerEngines::PeerEngines(const global::IClock& aClock,
+                         const IEngineCodec& aCodec)
+  : mClock(aClock)
+  , mCodec(aCodec)
+{
+}
+
+void
+PeerEngines::Learn(uint32_t aRank, const std::string& aEndpointAddress)
+{
+  Peer& peer = mPeers[aRank];
+  if (peer.mAddress != aEndpointAddress) {
+    peer = { .mAddress = aEndpointAddress };
+  }
+}
+
+void
+PeerEngines::NoteSilent(uint32_t aRank)
+{
+  const auto it = mPeers.find(aRank);
+  if (it == mPeers.end()) {
+    return;
+  }
+  if (!IsAgentSilent(aRank)) {
+    LOGW("A rank's agent does not answer; its engine is asked directly. rank="
+         << aRank << " endpoint=" << it->second.mAddress);
+  }
+  it->second.mPassedOverUntil = mClock.Now() + kPassOverTime;
+}
+
+bool
+PeerEngines::IsAgentSilent(uint32_t aRank) const
+{
+  const auto it = mPeers.find(aRank);
+  return it != mPeers.end() && mClock.Now() < it->second.mPassedOverUntil;
+}
+
+std::shared_ptr<EngineClient>
+PeerEngines::EngineOf(uint32_t aRank)
+{
+  const auto it = mPeers.find(aRank);
+  if (it == mPeers.end()) {
+    return nullptr;
+  }
+  Peer& peer = it->second;
+  if (!peer.mEngine) {
+    peer.mEngine = std::make_shared<EngineClient>(
+      net::ParseTcpAddress(peer.mAddress), mCodec);
+  }
+  return peer.mEngine;
+}
+
+void
+PeerEngines::Sample(uint32_t aRank,
+                    SampleDepth aDepth,
+                    IGroupPort::OnSample aOnSample)
+{
+  const auto engine = EngineOf(aRank);
+  if (!engine) {
+    aOnSample(std::nullopt);
+    return;
+  }
+  engine->ReadState(
+    [engine, aDepth, aOnSample](const std::optional<RankState>& aState) {
+      if (!aState || aDepth == SampleDepth::State) {
+        aOnSample(aState ? std::optional(RankSample{ .mState = *aState })
+                         : std::nullopt);
+        return;
+      }
+      engine->ReadPlacement([state = *aState, aOnSample](
+                              const std::optional<RankPlacement>& aPlacement) {
+        RankSample sample{ .mState = state };
+        if (aPlacement && aPlacement->mVersion == state.mMapVersion) {
+          sample.mExperts = aPlacement->mExperts;
+        }
+        aOnSample(std::move(sample));
+      });
+    });
+}
+
+void
+PeerEngines::Order(uint32_t aRank,
+                   const RankOrder& aOrder,
+                   IGroupPort::OnOutcome aOnOutcome)
+{
+  const auto engine = EngineOf(aRank);
+  if (!engine) {
+    aOnOutcome(OrderOutcome::Unknown);
+    return;
+  }
+  engine->Order(aOrder, std::move(aOnOutcome));
+}
+
+}
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -45,6 +45,7 @@
   , mState(*mRecords, aClock)
   , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
   , mEngine(net::ParseTcpAddress(mEndpointAddress), *mCodec)
+  , mPeerEngines(aClock, *mCodec)
   , mLeader(aClock, *this, aMetrics)
   , mService(std::make_shared<RankService>(&mContext, *this))
 {
@@ -144,6 +145,9 @@
   load.reset();
   if (mRank) {
     mLeader.SetRank(*mRank);
+    for (const mesh::Member& member : GroupMembers()) {
+      mPeerEngines.Learn(member.mLoad->mRank, member.mLoad->mEndpointAddress);
+    }
     load =
       mesh::EndpointLoad{ mEndpointAddress,  mRank->mRequests, mRank->mIsOpen,
                           mRank->mGroup,     mRank->mRank,     mRank->mSize,
@@ -220,8 +224,10 @@
     return;
   }
   const std::string address = AgentOf(aRank);
-  if (address.empty()) {
-    transport::Post(&mContext, [aOnSample] { aOnSample(std::nullopt); });
+  if (address.empty() || mPeerEngines.IsAgentSilent(aRank)) {
+    transport::Post(&mContext, [this, aRank, aDepth, aOnSample] {
+      mPeerEngines.Sample(aRank, aDepth, aOnSample);
+    });
     return;
   }
   const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
@@ -236,9 +242,14 @@
     [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Sample(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [aOnSample](const grpc::Status& aStatus,
-                const mesh::v1::SampleReply& aReply) {
-      aOnSample(aStatus.ok() ? Read(aReply) : std::nullopt);
+    [this, aRank, aDepth, aOnSample](const grpc::Status& aStatus,
+                                     const mesh::v1::SampleReply& aReply) {
+      if (aStatus.ok()) {
+        aOnSample(Read(aReply));
+        return;
+      }
+      mPeerEngines.NoteSilent(aRank);
+      mPeerEngines.Sample(aRank, aDepth, aOnSample);
     });
 }
 
@@ -250,9 +261,10 @@
     return;
   }
   const std::string address = AgentOf(aRank);
-  if (address.empty()) {
-    transport::Post(&mContext,
-                    [aOnOutcome] { aOnOutcome(OrderOutcome::Unknown); });
+  if (address.empty() || mPeerEngines.IsAgentSilent(aRank)) {
+    transport::Post(&mContext, [this, aRank, aOrder, aOnOutcome] {
+      mPeerEngines.Order(aRank, aOrder, aOnOutcome);
+    });
     return;
   }
   const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
@@ -267,8 +279,11 @@
     [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Order(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [aOnOutcome](const grpc::Status& aStatus,
-                 const mesh::v1::OrderReply& aReply) {
+    [this, aRank, aOnOutcome](const grpc::Status& aStatus,
+                              const mesh::v1::OrderReply& aReply) {
+      if (!aStatus.ok()) {
+        mPeerEngines.NoteSilent(aRank);
+      }
       if (!aStatus.ok() || (!aReply.is_taken() && !aReply.is_refused())) {
         aOnOutcome(OrderOutcome::Unknown);
         return;
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -6,6 +6,7 @@
 #include "published/publishedstate.h"
 #include "rankagent/internal/engineclient.h"
 #include "rankagent/internal/groupleader.h"
+#include "rankagent/internal/peerengines.h"
 #include "rankagent/internal/rankservice.h"
 
 namespace beryllever::rankagent {
@@ -61,6 +62,7 @@
   published::PublishedState mState;
   mesh::MeshNode mMesh;
   EngineClient mEngine;
+  PeerEngines mPeerEngines;
   GroupLeader mLeader;
   std::shared_ptr<RankService> mService;
   std::optional<RankState> mRank;
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -1,4 +1,5 @@
 #include "rankagent/mapchange.h"
+#include "rankagent/tests/enginemodel.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -10,23 +11,10 @@
 namespace {
 
 using namespace beryllever::rankagent;
+using namespace beryllever::rankagent::tests;
 
 constexpr size_t kLeads = 2;
 
-/** Faults that the exploration must find. */
-enum class Fault
-{
-  None,
-  /** A hold does not hold. */
-  NoHold,
-  /** Ranks arm versions that are no longer prepared. */
-  ArmsOldVersions,
-  /** The lead counts an unanswered order to arm as carried out. */
-  TrustsSilence,
-  /** The lead clears without a hold of its own. */
-  ClearsWithoutHold,
-};
-
 struct Limits
 {
   size_t mRanks = 2;
@@ -116,53 +104,6 @@
   return text.str();
 }
 
-/** What a rank does with an order; the model of an engine, as the users'
- * platform describes and shows it. */
-bool
-CarryOut(World& aWorld, const RankCommand& aCommand, Fault aFault)
-{
-  RankState& rank = aWorld.mRanks[aCommand.mRank];
-  const RankOrder& order = aCommand.mOrder;
-  switch (order.mOperation) {
-    case RankOperation::Hold:
-      if (rank.mHeldStep != 0 || order.mStep <= aWorld.mStep) {
-        return false;
-      }
-      rank.mHeldStep = order.mStep;
-      return true;
-    case RankOperation::Release:
-      if (rank.mHeldStep == 0 || rank.mHeldStep != order.mStep) {
-        return false;
-      }
-      rank.mHeldStep = 0;
-      return true;
-    case RankOperation::Arm:
-      if (order.mStep <= aWorld.mStep ||
-          (rank.mPreparedVersion != order.mVersion &&
-           aFault != Fault::ArmsOldVersions)) {
-        return false;
-      }
-      rank.mArmedVersion = order.mVersion;
-      rank.mArmedStep = order.mStep;
-      return true;
-    case RankOperation::Disarm:
-      if (rank.mArmedVersion != order.mVersion) {
-        return false;
-      }
-      rank.mArmedVersion = 0;
-      rank.mArmedStep = 0;
-      return true;
-    case RankOperation::Prepare:
-      if (rank.mArmedVersion != 0 || order.mVersion <= rank.mPreparedVersion ||
-          order.mVersion <= rank.mMapVersion) {
-        return false;
-      }
-      rank.mPreparedVersion = order.mVersion;
-      return true;
-  }
-  return false;
-}
-
 class Explorer
 {
 public:
@@ -354,8 +295,7 @@
     const bool isClearingHold =
       mLimits.mFault == Fault::ClearsWithoutHold && aLead == 1 &&
       command.mOrder.mOperation == RankOperation::Hold;
-    const bool isTaken =
-      isClearingHold || CarryOut(answered, command, mLimits.mFault);
+    const bool isTaken = isClearingHold || CarryOutAt(answered, command);
     Finish(std::move(answered),
            aLead,
            command.mRank,
@@ -365,7 +305,7 @@
                                       : OrderOutcome::Unknown;
     if (aWorld.mLostLeft > 0) {
       World world = Without(aWorld, aLead, aIndex);
-      CarryOut(world, command, mLimits.mFault);
+      CarryOutAt(world, command);
       --world.mLostLeft;
       Finish(std::move(world), aLead, command.mRank, unanswered);
     }
@@ -392,13 +332,21 @@
     Push(std::move(aWorld));
   }
 
+  bool CarryOutAt(World& aWorld, const RankCommand& aCommand) const
+  {
+    return CarryOut(aWorld.mRanks[aCommand.mRank],
+                    aWorld.mStep,
+                    aCommand.mOrder,
+                    mLimits.mFault);
+  }
+
   void CarryOutLate(const World& aWorld)
   {
     for (size_t i = 0; i < aWorld.mLate.size(); ++i) {
       World world = aWorld;
       const RankCommand command = world.mLate[i];
       world.mLate.erase(world.mLate.begin() + static_cast<long>(i));
-      CarryOut(world, command, mLimits.mFault);
+      CarryOutAt(world, command);
       Push(std::move(world));
     }
   }
