--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -40,14 +40,13 @@
 /** Time after which a rank that has not prepared a map is told so again; longer
  * than the copy of all experts that one change may bring. */
 constexpr milliseconds kPrepareAgain{ 600 };
-/** Time for which another lead's hold is left alone. */
+/** Time for which another lead's hold is left alone, and without a new pass
+ * after which the second lead looks whether the first one has left a hold; a
+ * pass takes about 0.1 s, and a change less. */
 constexpr milliseconds kForeignHold{ 350 };
 /** Passes between the one that runs and the one with the new map: the switch
  * takes three exchanges of messages, each shorter than a pass. */
 constexpr uint64_t kPassesAhead = 2;
-/** Time without a new pass after which the second lead looks whether the first
- * one has left a hold; a pass takes about 0.1 s. */
-constexpr milliseconds kStandstill{ 500 };
 /** Time in which the agents hear which of them may lead. */
 constexpr milliseconds kSettle{ 600 };
 /** Passes beyond the one that runs that a lead may name. */
@@ -116,7 +115,7 @@
 GroupLeader::IsDeputyNeeded() const
 {
   return LeadsBefore() == 1 && mOwn->mIsOpen && mOwn->mRequests > 0 &&
-         mClock.Now() - mStepSince >= kStandstill;
+         mClock.Now() - mStepSince >= kForeignHold;
 }
 
 bool
@@ -401,7 +400,10 @@
   // An order of an earlier life of this process may still let its hold go, so
   // that hold protects nothing; another lead clears it.
   const bool isEarlierLife = own != 0 && own != mChangeStep && !mMayLead;
-  if (isEarlierLife || now - mHeldSince < kForeignHold) {
+  // A hold of the next pass has stood for as long as that pass has not begun.
+  const auto since =
+    held == mOwn->mStep + 1 ? std::min(mHeldSince, mStepSince) : mHeldSince;
+  if (isEarlierLife || now - since < kForeignHold) {
     return true;
   }
   LOGW("A hold that a lead has left is cleared. group="
