Send an unanswered order to prepare a map again at once

Change: an order to prepare that got no answer is sent again in the next round; a rank that has the version refuses the second one.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -488,6 +488,7 @@
   mPreparingMap = planned;
   mPrepareDeadline = mClock.Now() + kPrepareTime;
   mPrepareAgain = mClock.Now() + kPrepareAgain;
+  mUnanswered.clear();
   LOGI("A better expert map is prepared. group="
        << mOwn->mGroup << " version=" << mPreparing
        << " epoch=" << mPreparingEpoch << " largestLoadBefore=" << before
@@ -507,14 +508,18 @@
                    .mVersion = mPreparing,
                    .mMap = mPreparingMap };
   const uint64_t version = mPreparing;
-  mPort.Order(static_cast<uint32_t>(aRank),
-              order,
-              [this, aRank, version](OrderOutcome aOutcome) {
-                if (aOutcome == OrderOutcome::Refused) {
-                  LOGW("Rank does not prepare the map. rank="
-                       << aRank << " version=" << version);
-                }
-              });
+  mPort.Order(
+    static_cast<uint32_t>(aRank),
+    order,
+    [this, aRank, version](OrderOutcome aOutcome) {
+      if (aOutcome == OrderOutcome::Refused) {
+        LOGW("Rank does not prepare the map. rank=" << aRank
+                                                    << " version=" << version);
+      }
+      if (aOutcome == OrderOutcome::Unknown && version == mPreparing) {
+        mUnanswered.insert(aRank);
+      }
+    });
 }
 
 void
@@ -541,7 +546,10 @@
   const bool isAgain = now >= mPrepareAgain;
   for (size_t rank = 0; rank < mSamples.size(); ++rank) {
     const RankState& state = mSamples[rank]->mState;
-    if (state.mPreparedVersion != mPreparing && isAgain) {
+    // A second order for a version that a rank has is refused, so it may follow
+    // an unanswered one at once.
+    const bool isUnanswered = mUnanswered.erase(rank) > 0;
+    if (state.mPreparedVersion != mPreparing && (isAgain || isUnanswered)) {
       SendPrepare(rank);
     }
   }
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -7,6 +7,7 @@
 #include "rebalancing/popularity.h"
 
 #include <QTimer>
+#include <set>
 
 namespace beryllever::rankagent {
 
@@ -107,6 +108,8 @@
   ExpertMap mPreparingMap;
   global::TimePoint mPrepareDeadline{};
   global::TimePoint mPrepareAgain{};
+  /** Ranks that have not answered the order to prepare. */
+  std::set<size_t> mUnanswered;
   uint64_t mHighestVersion = 0;
   /** Highest pass that this lead has named. */
   uint64_t mLastStep = 0;
