Remember what experts are in demand when a group has formed anew

Change: DemandTracker, a part of its own, begins the counts anew in a new epoch and keeps the demand.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -24,14 +24,6 @@
 /** Ranks whose counts are read: their choices stand for all, and the counts of
  * 256 ranks would not fit the lead's link. */
 constexpr size_t kMaxCountedRanks = 16;
-/** Weight of the newest window of counts; shifts of demand come every few
- * seconds and have to be followed within one. */
-constexpr double kNewestWeight = 0.15;
-/** Share of a window that goes to other experts than before, above which demand
- * has shifted; windows of steady demand differ by less than 0.2. */
-constexpr double kShiftDistance = 0.27;
-/** Weight of a window after a shift. */
-constexpr double kShiftWeight = 0.85;
 /** Time after which no order of an earlier life of this process is carried out
  * any more: the platform's orders come up to 12 s late. */
 constexpr milliseconds kLateOrders{ 13000 };
@@ -58,8 +50,6 @@
 constexpr double kMinGainPerCopy = 0.03;
 /** Pause after a change that came to nothing. */
 constexpr milliseconds kPauseAfterFailure{ 300 };
-/** Requests' choices below this number tell nothing. */
-constexpr double kMinChoices = 200;
 
 }
 
@@ -127,6 +117,19 @@
   });
 }
 
+void
+GroupLeader::SetEngine(const published::EngineProfile& aEngine)
+{
+  const bool isSame = mEngine &&
+                      mEngine->mExpertLayers == aEngine.mExpertLayers &&
+                      mEngine->mExperts == aEngine.mExperts;
+  mEngine = aEngine;
+  if (!isSame) {
+    mDemand.emplace(static_cast<size_t>(aEngine.mExpertLayers),
+                    static_cast<size_t>(aEngine.mExperts));
+  }
+}
+
 void
 GroupLeader::SetRank(const RankState& aState)
 {
@@ -217,7 +220,7 @@
                                  state.mPreparedVersion,
                                  state.mArmedVersion });
   }
-  TakeCounts();
+  mDemand->Take(mSamples);
   if (HandleHold()) {
     return;
   }
@@ -318,56 +321,6 @@
   }
 }
 
-void
-GroupLeader::TakeCounts()
-{
-  const size_t layers = static_cast<size_t>(mEngine->mExpertLayers);
-  const size_t experts = static_cast<size_t>(mEngine->mExperts);
-  const uint64_t epoch = mSamples[0]->mState.mEpoch;
-  const bool isFirst =
-    mLastCounts.size() != mSamples.size() || mCountsEpoch != epoch;
-  if (isFirst) {
-    mCountsEpoch = epoch;
-    mLastCounts.assign(mSamples.size(), {});
-    mPopularity.assign(layers, rebalancing::Popularity(experts));
-  }
-  std::vector<rebalancing::Loads> windows(layers,
-                                          rebalancing::Loads(experts, 0));
-  double sum = 0;
-  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
-    const std::vector<uint64_t>& counts = mSamples[rank]->mCounts;
-    std::vector<uint64_t>& last = mLastCounts[rank];
-    if (counts.size() != layers * experts) {
-      continue;
-    }
-    for (size_t i = 0; i < counts.size() && last.size() == counts.size(); ++i) {
-      const double chosen =
-        counts[i] >= last[i] ? static_cast<double>(counts[i] - last[i]) : 0;
-      windows[i / experts][i % experts] += chosen;
-      sum += chosen;
-    }
-    last = counts;
-  }
-  if (sum < kMinChoices) {
-    return;
-  }
-  double distance = 0;
-  for (size_t layer = 0; layer < layers; ++layer) {
-    distance += mPopularity[layer].DistanceTo(windows[layer]) /
-                static_cast<double>(layers);
-  }
-  const bool hasShifted = distance > kShiftDistance;
-  if (hasShifted && !mHasShifted) {
-    LOGI("Demand for experts has shifted. group=" << mOwn->mGroup
-                                                  << " distance=" << distance);
-  }
-  mHasShifted = hasShifted;
-  for (size_t layer = 0; layer < layers; ++layer) {
-    mPopularity[layer].TakeWindow(windows[layer],
-                                  hasShifted ? kShiftWeight : kNewestWeight);
-  }
-}
-
 uint64_t
 GroupLeader::HeldStep() const
 {
@@ -449,7 +402,7 @@
     for (const auto& experts : aCurrent[layer]) {
       lists.emplace_back(experts.begin(), experts.end());
     }
-    const rebalancing::Loads& loads = mPopularity[layer].Smoothed();
+    const rebalancing::Loads& loads = mDemand->Demand(layer);
     const rebalancing::RankLists better = planner.Improve(lists, loads, paces);
     aBefore += rebalancing::LargestLoad(lists, loads, paces);
     aAfter += rebalancing::LargestLoad(better, loads, paces);
@@ -473,8 +426,8 @@
 {
   const ExpertMap current = CurrentMap();
   // The first window of a shift is a mixture of old and new demand.
-  if (mClock.Now() < mNextPlan || mHasShifted || mPopularity.empty() ||
-      current.empty()) {
+  if (mClock.Now() < mNextPlan || mDemand->HasShifted() ||
+      !mDemand->IsKnown() || current.empty()) {
     return;
   }
   double before = 0;
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -3,8 +3,7 @@
 #include "framework/global/iclock.h"
 #include "framework/metrics/metrics.h"
 #include "published/publishedtypes.h"
-#include "rankagent/internal/groupport.h"
-#include "rebalancing/popularity.h"
+#include "rankagent/internal/demandtracker.h"
 
 #include <QTimer>
 #include <set>
@@ -32,7 +31,7 @@
   bool MayLead() const { return mMayLead; }
   /** What this process knows of its own rank and its engines. */
   void SetRank(const RankState& aState);
-  void SetEngine(const published::EngineProfile& aEngine) { mEngine = aEngine; }
+  void SetEngine(const published::EngineProfile& aEngine);
 
 private:
   bool IsLead() const;
@@ -59,7 +58,6 @@
   /** Time between two readings of the group, as its size and state allow. */
   milliseconds RoundInterval() const;
   void UpdateInterval();
-  void TakeCounts();
   bool HandleHold();
   void ContinuePreparing();
   void Plan();
@@ -98,10 +96,7 @@
   /** Ranks that the last round could not read. */
   size_t mUnread = 0;
 
-  uint64_t mCountsEpoch = 0;
-  std::vector<std::vector<uint64_t>> mLastCounts;
-  std::vector<rebalancing::Popularity> mPopularity;
-  bool mHasShifted = false;
+  std::optional<DemandTracker> mDemand;
 
   uint64_t mPreparing = 0;
   uint64_t mPreparingEpoch = 0;
--- /dev/null
+++ b/src/rankagent/tests/demandtrackertest.cpp
@@ -0,0 +1,72 @@
+#include "rankagent/internal/demandtracker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever::rankagent;
+
+namespace {
+
+constexpr size_t kExperts = 4;
+
+}
+
+TEST_GROUP(DemandTracker)
+{
+  DemandTracker mTracker{ 1, kExperts };
+  std::vector<uint64_t> mCounts = std::vector<uint64_t>(kExperts, 0);
+  uint64_t mEpoch = 1;
+
+  /** One window in which one expert is chosen. */
+  void Choose(size_t aExpert, uint64_t aTimes)
+  {
+    mCounts[aExpert] += aTimes;
+    RankSample sample{ .mState = { .mGroup = "g", .mEpoch = mEpoch },
+                       .mCounts = mCounts };
+    mTracker.Take({ std::move(sample) });
+  }
+};
+
+TEST(DemandTracker, KnowsNothingFromTheFirstReading)
+{
+  Choose(0, 1000);
+
+  CHECK_FALSE(mTracker.IsKnown());
+}
+
+TEST(DemandTracker, FollowsAShiftWithinTheNextWindow)
+{
+  Choose(0, 0);
+  Choose(0, 1000);
+  Choose(0, 1000);
+
+  Choose(1, 1000);
+  CHECK(mTracker.HasShifted());
+  Choose(1, 1000);
+
+  CHECK_FALSE(mTracker.HasShifted());
+  CHECK(mTracker.Demand(0)[1] > 5 * mTracker.Demand(0)[0]);
+}
+
+TEST(DemandTracker, RemembersTheDemandWhenItsGroupHasFormedAnew)
+{
+  Choose(0, 0);
+  Choose(2, 1000);
+
+  mEpoch = 2;
+  mCounts.assign(kExperts, 0);
+  Choose(2, 10);
+
+  CHECK(mTracker.IsKnown());
+  CHECK(mTracker.Demand(0)[2] > 900);
+}
+
+TEST(DemandTracker, TooFewChoicesChangeNothing)
+{
+  Choose(0, 0);
+  Choose(0, 1000);
+
+  Choose(3, 100);
+
+  CHECK_FALSE(mTracker.HasShifted());
+  DOUBLES_EQUAL(0, mTracker.Demand(0)[3], 0.001);
+}
