Send no work to a group that stands still

Change: an agent whose rank has begun no pass for 1.2 s though it has requests tells that its endpoint takes no work; gateways refuse with a time to come back.

Test: GroupLeader.TellsThatItsGroupStandsStill.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -104,8 +104,14 @@
 bool
 GroupLeader::IsDeputyNeeded() const
 {
-  return LeadsBefore() == 1 && mOwn->mIsOpen && mOwn->mRequests > 0 &&
-         mClock.Now() - mStepSince >= kForeignHold;
+  return LeadsBefore() == 1 && HasStoodStill(kForeignHold);
+}
+
+bool
+GroupLeader::HasStoodStill(milliseconds aTime) const
+{
+  return mOwn && mOwn->mIsOpen && mOwn->mRequests > 0 &&
+         mClock.Now() - mStepSince >= aTime;
 }
 
 bool
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -29,6 +29,9 @@
   void Stop();
   /** Whether this process may begin changes, other than clear old ones. */
   bool MayLead() const { return mMayLead; }
+  /** Whether the own rank's group has begun no pass for a time though it has
+   * requests. */
+  bool HasStoodStill(milliseconds aTime) const;
   /** What this process knows of its own rank and its engines. */
   void SetRank(const RankState& aState);
   void SetEngine(const published::EngineProfile& aEngine);
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -14,6 +14,9 @@
 
 constexpr char kLogTag[] = "rank";
 constexpr milliseconds kReadInterval{ 100 };
+/** Time without a pass after which a group takes no more work: a slow pass is
+ * shorter, and callers leave streams that are silent for 2 s. */
+constexpr milliseconds kStandstillTime{ 1200 };
 /** Time for another agent to read its rank, on a small share of a core. */
 constexpr milliseconds kSampleTime{ 400 };
 /** Time for another agent to give its rank an order. */
@@ -148,8 +151,10 @@
     for (const mesh::Member& member : GroupMembers()) {
       mPeerEngines.Learn(member.mLoad->mRank, member.mLoad->mEndpointAddress);
     }
+    const bool takesWork =
+      mRank->mIsOpen && !mLeader.HasStoodStill(kStandstillTime);
     load =
-      mesh::EndpointLoad{ mEndpointAddress,  mRank->mRequests, mRank->mIsOpen,
+      mesh::EndpointLoad{ mEndpointAddress,  mRank->mRequests, takesWork,
                           mRank->mGroup,     mRank->mRank,     mRank->mSize,
                           mLeader.MayLead(), mRank->mPace };
   }
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -35,6 +35,7 @@
   }
 
   uint64_t Step() const { return mRanks[0].mStep; }
+  void Freeze() { mTimer.stop(); }
   RankState& At(uint32_t aRank) { return mRanks[aRank]; }
   int Prepared() const { return mPrepared; }
 
@@ -128,6 +129,17 @@
   CHECK(!callersLeave.hasExpired());
 }
 
+TEST(GroupLeader, TellsThatItsGroupStandsStill)
+{
+  CHECK(TurnUntil([&] { return mLeader.MayLead(); }));
+  CHECK_FALSE(mLeader.HasStoodStill(milliseconds(200)));
+
+  // Nobody can let this pass go: the rank that holds it does not answer.
+  mGroup.Freeze();
+
+  CHECK(TurnUntil([&] { return mLeader.HasStoodStill(milliseconds(200)); }));
+}
+
 TEST(GroupLeader, TheSecondLeadChangesNothingWhileTheGroupGoesOn)
 {
   CHECK(TurnUntil([&] { return mLeader.MayLead(); }));
