Bound the request bodies that a gateway holds; gossip less between large zones

Causes: each request body was bounded by the published limit, their sum by nothing: 65 callers with 4 MB each are more than an entry VM's memory.

Change: a request whose stated or received body does not fit the rest of limits.heldBytes (a tenth of the memory on the users' platform) is refused with 503 and Retry-After before it is read on. Rounds between zones become rarer with the gateways of a zone, so that a zone hears of another several times a second whatever its size.

Test: Gateway.HoldsNoMoreBytesOfRequestsThanItMay (200 in place of 503 before).

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -50,6 +50,9 @@
     /** The peer has gone away; called once, last. */
     std::function<void()> mOnGone;
     std::function<void()> mOnDrained;
+    /** Whether so many more bytes of the request's body may be held; the
+     * request is refused otherwise. */
+    std::function<bool(size_t)> mMayHold;
     /** A request that cannot be taken, answered with this status. */
     std::function<void(unsigned, const std::string&)> mOnRefused;
   };
@@ -84,6 +87,9 @@
   bool TakeHead();
   void Deliver();
   void Refuse(const boost::system::error_code& aError);
+  void RefuseWith(unsigned aStatus, const std::string& aReason);
+  /** Whether the body, as far as it is known, may be held. */
+  bool MayHoldBody();
   void HandleClosed();
   void HandleTimeout();
   void BeginNext();
@@ -95,6 +101,8 @@
   Handlers mHandlers;
   std::unique_ptr<Parser> mParser;
   std::string mInput;
+  /** Bytes of the body that may be held. */
+  size_t mHeldBytes = 0;
   QTimer mTimer;
   global::TimePoint mArrival{};
   bool mHasHead = false;
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -12,6 +12,8 @@
 /** Idle time granted beyond the limit, so that a request sent at the limit does
  * not cross the close. */
 constexpr std::chrono::milliseconds kIdleSlack{ 500 };
+/** When a peer had best come back whose request could not be held. */
+constexpr char kRetryAfterSeconds[] = "1";
 
 unsigned
 StatusFor(const boost::system::error_code& aError)
@@ -91,6 +93,7 @@
   mParser->body_limit(static_cast<uint64_t>(mLimits.mBodyBytes));
   mHasHead = false;
   mHasRequest = false;
+  mHeldBytes = 0;
   mSocket->SetReading(true);
   mTimer.start(mLimits.mIdleTimeout + kIdleSlack);
   if (!mInput.empty()) {
@@ -132,6 +135,10 @@
     if (!mHasHead && mParser->is_header_done() && !TakeHead()) {
       return;
     }
+    if (mHasHead && !MayHoldBody()) {
+      RefuseWith(503, "too many bytes of requests are held");
+      return;
+    }
     if (mParser->is_done()) {
       Deliver();
       return;
@@ -187,13 +194,37 @@
 void
 HttpServerConnection::Refuse(const boost::system::error_code& aError)
 {
-  const unsigned status = StatusFor(aError);
+  RefuseWith(StatusFor(aError), aError.message());
+}
+
+void
+HttpServerConnection::RefuseWith(unsigned aStatus, const std::string& aReason)
+{
   mHasRequest = true;
   mIsClosing = true;
   if (mHandlers.mOnRefused) {
-    mHandlers.mOnRefused(status, aError.message());
+    mHandlers.mOnRefused(aStatus, aReason);
+  }
+  http::fields fields;
+  if (aStatus == 503) {
+    fields.set(http::field::retry_after, kRetryAfterSeconds);
   }
-  Answer(status, {}, aError.message());
+  Answer(aStatus, std::move(fields), aReason);
+}
+
+bool
+HttpServerConnection::MayHoldBody()
+{
+  const size_t known = std::max<size_t>(mParser->get().body().size(),
+                                        mParser->content_length().value_or(0));
+  if (known <= mHeldBytes || !mHandlers.mMayHold) {
+    return true;
+  }
+  if (!mHandlers.mMayHold(known - mHeldBytes)) {
+    return false;
+  }
+  mHeldBytes = known;
+  return true;
 }
 
 std::string
@@ -320,12 +351,7 @@
     Close();
     return;
   }
-  mHasRequest = true;
-  mIsClosing = true;
-  if (mHandlers.mOnRefused) {
-    mHandlers.mOnRefused(408, "the request did not arrive in time");
-  }
-  Answer(408, {}, "the request did not arrive in time");
+  RefuseWith(408, "the request did not arrive in time");
 }
 
 }
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -51,6 +51,7 @@
   : mClock(aClock)
   , mMetrics(aMetrics)
   , mSite(aSettings.Site())
+  , mHeldBytes(aSettings.Limits().mHeldBytes)
   , mCallerAddress(aSettings.CallerAddress())
   , mParts(std::move(aParts))
   , mState(*mParts.mRecords, aClock)
@@ -95,6 +96,7 @@
 GatewayNode::Reload(const configuration::IProcessSettings& aSettings)
 {
   mSite = aSettings.Site();
+  mHeldBytes = aSettings.Limits().mHeldBytes;
   mMesh.SetSeeds(aSettings.Seeds());
   LOGI("Settings are taken over. seeds=" << aSettings.Seeds().size());
   ApplyBounds();
@@ -107,7 +109,8 @@
                        mSite.mRetryExtra,
                        mSite.mRetryWindow,
                        mSite.mColdOverage,
-                       mSite.mColdTolerance },
+                       mSite.mColdTolerance,
+                       mHeldBytes },
                      AssumedGateways());
 }
 
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -72,6 +72,8 @@
   const global::IClock& mClock;
   metrics::Metrics& mMetrics;
   configuration::SiteSettings mSite;
+  /** Bytes of request bodies that this gateway holds at a time. */
+  int64_t mHeldBytes;
   const std::string mCallerAddress;
   GatewayParts mParts;
   published::PublishedState mState;
--- a/src/gateway/internal/traffic.h
+++ b/src/gateway/internal/traffic.h
@@ -32,6 +32,7 @@
   /** Lets waiting requests try again, the most urgent first. */
   void Wake();
   RetryAllowance& RetriesOf(const std::string& aPool);
+  const SiteBounds& Bounds() const { return mBounds; }
 
   const global::IClock& mClock;
   const IRequestCodec& mCodec;
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -54,32 +54,34 @@
   const uint64_t id = ++mLastId;
   const auto connection = std::make_shared<net::HttpServerConnection>(
     std::move(aSocket), mTraffic.mClock, Limits());
-  mCallers[id] = { connection, nullptr };
+  mCallers[id].mConnection = connection;
   connection->Start(HandlersFor(id));
 }
 
 net::HttpServerConnection::Handlers
 TrafficCore::HandlersFor(uint64_t aId)
 {
-  return { .mOnRequest =
-             [this, aId](net::ServerRequest aRequest) {
-               Begin(aId, std::move(aRequest));
-             },
-           .mOnGone = [this, aId] { Drop(aId); },
-           .mOnDrained =
-             [this, aId] {
-               if (const auto exchange = mCallers[aId].mExchange) {
-                 exchange->HandleCallerDrained();
-               }
-             },
-           .mOnRefused =
-             [this](unsigned aStatus, const std::string& aReason) {
-               LOGW("Request cannot be taken. status=" << aStatus << " reason="
-                                                       << aReason);
-               mTraffic.mMetrics.Count(
-                 "beryllever_bad_requests",
-                 { { "status", std::to_string(aStatus) } });
-             } };
+  return {
+    .mOnRequest =
+      [this, aId](net::ServerRequest aRequest) {
+        Begin(aId, std::move(aRequest));
+      },
+    .mOnGone = [this, aId] { Drop(aId); },
+    .mOnDrained =
+      [this, aId] {
+        if (const auto exchange = mCallers[aId].mExchange) {
+          exchange->HandleCallerDrained();
+        }
+      },
+    .mMayHold = [this, aId](size_t aBytes) { return MayHold(aId, aBytes); },
+    .mOnRefused =
+      [this](unsigned aStatus, const std::string& aReason) {
+        LOGW("Request cannot be taken. status=" << aStatus
+                                                << " reason=" << aReason);
+        mTraffic.mMetrics.Count("beryllever_bad_requests",
+                                { { "status", std::to_string(aStatus) } });
+      }
+  };
 }
 
 void
@@ -92,6 +94,7 @@
       --mOpenRequests;
       if (const auto it = mCallers.find(aId); it != mCallers.end()) {
         it->second.mExchange.reset();
+        ReturnHeld(it->second);
       }
     });
   caller.mExchange = exchange;
@@ -105,6 +108,7 @@
   if (it == mCallers.end()) {
     return;
   }
+  ReturnHeld(it->second);
   const Caller caller = std::move(it->second);
   mCallers.erase(it);
   if (caller.mExchange) {
@@ -112,6 +116,28 @@
   }
 }
 
+bool
+TrafficCore::MayHold(uint64_t aId, size_t aBytes)
+{
+  const auto it = mCallers.find(aId);
+  const auto bytes = static_cast<int64_t>(aBytes);
+  if (it == mCallers.end() ||
+      mHeldBytes + bytes > mTraffic.Bounds().mHeldBytes) {
+    return false;
+  }
+  it->second.mHeldBytes += bytes;
+  mHeldBytes += bytes;
+  mTraffic.mMetrics.Set("beryllever_held_request_bytes",
+                        static_cast<double>(mHeldBytes));
+  return true;
+}
+
+void
+TrafficCore::ReturnHeld(Caller& aCaller)
+{
+  mHeldBytes -= std::exchange(aCaller.mHeldBytes, 0);
+}
+
 void
 TrafficCore::BeginLeaving()
 {
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -33,12 +33,17 @@
   {
     std::shared_ptr<net::HttpServerConnection> mConnection;
     std::shared_ptr<Exchange> mExchange;
+    /** Bytes of its request's body that are held, or may come. */
+    int64_t mHeldBytes = 0;
   };
 
   void Accept(std::shared_ptr<net::TcpSocket> aSocket);
   net::HttpServerConnection::Handlers HandlersFor(uint64_t aId);
   void Begin(uint64_t aId, net::ServerRequest aRequest);
   void Drop(uint64_t aId);
+  /** Whether so many more bytes of a caller's request may be held. */
+  bool MayHold(uint64_t aId, size_t aBytes);
+  void ReturnHeld(Caller& aCaller);
   net::ServerLimits Limits() const;
 
   Traffic mTraffic;
@@ -46,6 +51,8 @@
   net::TcpListener mListener;
   std::map<uint64_t, Caller> mCallers;
   uint64_t mLastId = 0;
+  /** Bytes of all callers' requests. */
+  int64_t mHeldBytes = 0;
 };
 
 }
--- a/src/gateway/sitebounds.h
+++ b/src/gateway/sitebounds.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace beryllever::gateway {
 
@@ -15,6 +16,8 @@
   /** Factor and addend of the bound on a cold endpoint's requests a second. */
   double mColdOverage = 1;
   double mColdTolerance = 0;
+  /** Bytes of request bodies that one gateway holds at a time. */
+  int64_t mHeldBytes = int64_t(32) * 1024 * 1024;
 };
 
 }
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -23,8 +23,11 @@
 constexpr milliseconds kGossipInterval{ 250 };
 /** Peers of its own zone that a gateway gossips with in one round. */
 constexpr size_t kFanout = 2;
-/** Rounds after which a gateway gossips with one of another zone. */
+/** Rounds after which a gateway gossips with one of another zone, for each
+ * kFarShare gateways of its own zone: a zone hears of another several times a
+ * second whatever its size. */
 constexpr uint64_t kFarRounds = 2;
+constexpr uint64_t kFarShare = 4;
 constexpr milliseconds kGossipTime{ 700 };
 constexpr milliseconds kFetchTime{ 1500 };
 
@@ -39,6 +42,7 @@
   , mSeeds(std::move(aSeeds))
   , mMetrics(aMetrics)
   , mService(std::make_shared<MeshService>(*this))
+  , mRound(global::RandomIdentifier())
   , mRandom(global::RandomIdentifier())
 {
   QObject::connect(&mTimer, &QTimer::timeout, this, [this] { Tick(); });
@@ -167,7 +171,9 @@
     }
   }
   mHeardAgents.clear();
-  const bool isFarRound = mates.empty() || mRound % kFarRounds == 0;
+  const uint64_t period =
+    kFarRounds * std::max<uint64_t>(1, (mates.size() + 1) / kFarShare);
+  const bool isFarRound = mates.empty() || mRound % period == 0;
   if (isFarRound && !others.empty()) {
     GossipWith(others.front().mPeerAddress, { .mWantsMembers = true });
   }
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -95,7 +95,8 @@
   std::map<std::string, bool> mIsCalling;
   /** Agents that have told this gateway of themselves since the last round. */
   std::map<std::string, Member> mHeardAgents;
-  uint64_t mRound = 0;
+  /** Begins anywhere, so that gateways do not gossip far in the same round. */
+  uint64_t mRound;
   std::mt19937_64 mRandom;
   QTimer mTimer;
   bool mIsFetching = false;
