Show how uneven a group's map is and how long a stream paused

What callers saw: too little was earned of a class of streams. The logs told the first event's time, but not whether a stream paused beyond its target, nor how uneven the map is that the leader starts from, so hypothesis 1 (passes too long) could not be told from 2 (requests arrive late).

"Ended." lines carry longestPauseMilliseconds; the leader logs the imbalance (largest over even rank load) before and after a plan, and once when it finds no better map; metric beryllever_map_imbalance.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -320,6 +320,9 @@
       AbortResponse("resumed stream skips events");
       return;
     }
+    if (!events.empty()) {
+      RecordPause();
+    }
     mCaller->WriteBody(events);
   }
   if (mCaller->Pending() > kMaxPendingBytes) {
@@ -327,6 +330,17 @@
   }
 }
 
+void
+Exchange::RecordPause()
+{
+  const auto now = mContext.mClock.Now();
+  if (mLastForward) {
+    mLongestPause =
+      std::max(mLongestPause, duration_cast<milliseconds>(now - *mLastForward));
+  }
+  mLastForward = now;
+}
+
 void
 Exchange::HandleCallerDrained()
 {
@@ -623,6 +637,8 @@
                          << " status=" << aStatus << " attempts=" << mAttempts
                          << " firstByteMilliseconds="
                          << mTimeToFirstByte.value_or(milliseconds(-1)).count()
+                         << " longestPauseMilliseconds="
+                         << mLongestPause.count()
                          << " milliseconds=" << Elapsed().count()
                          << " version=" << mSnapshot->Version()
                          << " revision=" << mContext.mSnapshot->Revision()
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -80,6 +80,7 @@
   void Retry(const std::string& aReason);
   void ForwardHead();
   void ForwardBody(std::string_view aBytes);
+  void RecordPause();
   /** Sends a response that the gateway generates itself. */
   void RespondLocally(unsigned aStatus,
                       const std::string& aReason,
@@ -122,6 +123,10 @@
   bool mIsFinished = false;
   unsigned mResponseStatus = 0;
   std::optional<milliseconds> mTimeToFirstByte;
+  /** When data of a stream was last forwarded. */
+  std::optional<global::TimePoint> mLastForward;
+  /** Longest time between two pieces of a stream. */
+  milliseconds mLongestPause{ 0 };
   std::string mLastFailure;
   std::string mLastEndpoint;
   EventAssembler mEvents;
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -2,7 +2,6 @@
 
 #include "framework/global/identifiers.h"
 #include "framework/log/log.h"
-#include "rebalancing/layerplanner.h"
 
 #include <algorithm>
 
@@ -44,12 +43,6 @@
 constexpr milliseconds kEligibilityGossipTime{ 600 };
 /** Largest number of passes after the current one that a leader may use. */
 constexpr uint64_t kMaxPassesAhead = 16;
-/** Fraction by which a new map must reduce the sum, over all layers, of the
- * load of the most loaded rank. */
-constexpr double kMinGain = 0.12;
-/** Fraction of a layer's largest rank load that each copied expert must save. A
- * copy takes memory bandwidth, and demand changes within seconds. */
-constexpr double kMinGainPerCopy = 0.03;
 constexpr milliseconds kDelayAfterFailedChange{ 300 };
 
 }
@@ -395,38 +388,6 @@
   return map;
 }
 
-ExpertMap
-GroupLeader::PlanMap(const ExpertMap& aCurrent,
-                     double& aBefore,
-                     double& aAfter) const
-{
-  const rebalancing::LayerPlanner planner(
-    { static_cast<size_t>(mEngine->mPlacesPerRank),
-      static_cast<size_t>(mEngine->mSparePerRank),
-      kMinGainPerCopy });
-  rebalancing::Slowdowns slowdowns;
-  for (const auto& sample : mSamples) {
-    slowdowns.push_back(std::max(1.0, sample->mState.mPace));
-  }
-  ExpertMap planned;
-  for (size_t layer = 0; layer < aCurrent.size(); ++layer) {
-    rebalancing::ExpertsByRank lists;
-    for (const auto& experts : aCurrent[layer]) {
-      lists.emplace_back(experts.begin(), experts.end());
-    }
-    const rebalancing::Loads& loads = mDemand->Demand(layer);
-    const rebalancing::ExpertsByRank improved =
-      planner.Improve(lists, loads, slowdowns);
-    aBefore += rebalancing::MaxRankLoad(lists, loads, slowdowns);
-    aAfter += rebalancing::MaxRankLoad(improved, loads, slowdowns);
-    planned.emplace_back();
-    for (const auto& experts : improved) {
-      planned.back().emplace_back(experts.begin(), experts.end());
-    }
-  }
-  return planned;
-}
-
 uint64_t
 GroupLeader::NextVersion()
 {
@@ -444,28 +405,50 @@
       !mDemand->HasDemand() || current.empty()) {
     return;
   }
-  double before = 0;
-  double after = 0;
-  const ExpertMap planned = PlanMap(current, before, after);
-  if (before <= 0 || after > before * (1 - kMinGain)) {
+  MapPlan plan = PlanMap(*mEngine, current, *mDemand, RankSlowdowns());
+  mMetrics.Set("beryllever_map_imbalance", plan.ImbalanceBefore());
+  if (!plan.IsWorthwhile()) {
+    LogSettled(plan);
     return;
   }
+  mIsSettled = false;
   mPreparingVersion = NextVersion();
   mPreparingEpoch = mSamples[0]->mState.mEpoch;
-  mPreparingMap = planned;
+  mPreparingMap = std::move(plan.mMap);
   mPrepareDeadline = mClock.Now() + kPrepareTimeout;
   mPrepareRetryTime = mClock.Now() + kPrepareRetryInterval;
   mUnansweredRanks.clear();
   LOGI("Preparing a better expert map. group="
-       << mLocalRank->mGroup << " version=" << mPreparingVersion
-       << " epoch=" << mPreparingEpoch << " largestLoadBefore=" << before
-       << " largestLoadAfter=" << after);
+       << mLocalRank->mGroup << " version=" << mPreparingVersion << " epoch="
+       << mPreparingEpoch << " imbalanceBefore=" << plan.ImbalanceBefore()
+       << " imbalanceAfter=" << plan.ImbalanceAfter());
   for (size_t rank = 0; rank < mSamples.size(); ++rank) {
     SendPrepare(rank);
   }
   UpdateInterval();
 }
 
+std::vector<double>
+GroupLeader::RankSlowdowns() const
+{
+  std::vector<double> slowdowns;
+  for (const auto& sample : mSamples) {
+    slowdowns.push_back(std::max(1.0, sample->mState.mPace));
+  }
+  return slowdowns;
+}
+
+void
+GroupLeader::LogSettled(const MapPlan& aPlan)
+{
+  if (!mIsSettled) {
+    LOGI("No better expert map is found. group="
+         << mLocalRank->mGroup << " imbalance=" << aPlan.ImbalanceBefore()
+         << " imbalanceOfBestPlan=" << aPlan.ImbalanceAfter());
+  }
+  mIsSettled = true;
+}
+
 void
 GroupLeader::SendPrepare(size_t aRank)
 {
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -3,7 +3,7 @@
 #include "framework/global/iclock.h"
 #include "framework/metrics/metrics.h"
 #include "published/publishedtypes.h"
-#include "rankagent/internal/demandtracker.h"
+#include "rankagent/internal/mapplanner.h"
 
 #include <QTimer>
 #include <set>
@@ -74,9 +74,9 @@
   void ContinuePreparing();
   void Plan();
   ExpertMap CurrentMap() const;
-  ExpertMap PlanMap(const ExpertMap& aCurrent,
-                    double& aBefore,
-                    double& aAfter) const;
+  std::vector<double> RankSlowdowns() const;
+  /** Logs, once until the next change, that no better map is found. */
+  void LogSettled(const MapPlan& aPlan);
   void SendPrepare(size_t aRank);
   uint64_t NextVersion();
 
@@ -128,6 +128,8 @@
   /** When the local rank was first seen in its current pass. */
   global::TimePoint mStepSince{};
   global::TimePoint mNextPlanTime{};
+  /** The last plan was not worth a change. */
+  bool mIsSettled = false;
 
   std::optional<MapChange> mChange;
   uint64_t mChangeId = 0;
