Bound every response that a server in trouble does not end

What callers saw: a worker that sends bytes without end made the gateway take them until the caller's deadline (answer 504 after 4 s, or a cut stream), with all of them in memory: bodies of failures, events without end, chunk sizes and trailers without end. Interim responses and responses to other requests were skipped without end.

Cause: only the head had a limit; everything that is buffered until it is complete had none.

What exceeds it is a broken response: the connection is closed, the request goes to another endpoint or ends with 502. The idle time of a stream counts from its last complete event, so bytes that complete none do not prolong it.

--- a/src/framework/net/httpclientconnection.h
+++ b/src/framework/net/httpclientconnection.h
@@ -101,6 +101,8 @@
   std::string mInput;
   Handlers mHandlers;
   std::function<void()> mOnIdleClosed;
+  /** Answers of status 1xx to the request so far. */
+  int mInterimAnswers = 0;
   bool mIsBusy = false;
   bool mHasHead = false;
   bool mHasBytes = false;
--- a/src/framework/net/internal/httpclientconnection.cpp
+++ b/src/framework/net/internal/httpclientconnection.cpp
@@ -8,6 +8,10 @@
 
 /** Bound on an answer's head; engines send a few hundred bytes. */
 constexpr uint32_t kMaxHeadBytes = 64 * 1024;
+/** Bound on bytes that the parser cannot take yet, such as a chunk's size line
+ * or the trailer. */
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+constexpr int kMaxInterimAnswers = 16;
 
 }
 
@@ -88,6 +92,7 @@
   mHandlers = std::move(aHandlers);
   mIsBusy = true;
   mIsReusable = false;
+  mInterimAnswers = 0;
   ResetParser();
   if (!mSocket->IsOpen()) {
     End(AnswerEnd::NotSent);
@@ -102,6 +107,7 @@
   mHandlers = std::move(aHandlers);
   mIsBusy = true;
   mIsReusable = false;
+  mInterimAnswers = 0;
   ResetParser();
   if (!mInput.empty()) {
     Parse();
@@ -152,6 +158,10 @@
       End(AnswerEnd::Complete);
       return;
     }
+    if (mIsBusy && mInput.size() > kMaxUnparsedBytes) {
+      End(AnswerEnd::Garbled);
+      return;
+    }
     if (ec == http::error::need_more || n == 0) {
       return;
     }
@@ -163,6 +173,10 @@
 {
   const auto& message = mParser->get();
   if (message.result_int() / 100 == 1) {
+    if (++mInterimAnswers > kMaxInterimAnswers) {
+      End(AnswerEnd::Garbled);
+      return false;
+    }
     const std::string rest = std::move(mInput);
     ResetParser();
     mInput = rest;
--- a/src/gateway/eventassembler.h
+++ b/src/gateway/eventassembler.h
@@ -24,6 +24,8 @@
   std::string TakeRemainder();
   /** Discards a partial event; another endpoint continues after LastId(). */
   void BeginResumption();
+  /** Bytes of the event that is not complete yet. */
+  size_t PendingBytes() const { return mBuffer.size(); }
   /** Id of the last forwarded event that has a numeric id. */
   std::optional<int64_t> LastId() const { return mLastId; }
   /** Whether a resumed stream skipped a numeric id. */
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -34,6 +34,10 @@
  * that they can still be retried. Those of streaming routes are forwarded at
  * once, and unsuccessful responses of any size only when complete. */
 constexpr size_t kMaxBufferedResponseBytes = 256 * 1024;
+/** Largest event of a stream. */
+constexpr size_t kMaxEventBytes = 256 * 1024;
+/** Most bytes of responses to other requests that are skipped. */
+constexpr size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
 /** Bytes not yet read by the caller above which reading from the endpoint is
  * paused. */
 constexpr size_t kMaxPendingBytes = 64 * 1024;
@@ -272,27 +276,52 @@
 void
 Exchange::HandleBody(std::string_view aBytes)
 {
-  if (!mAttempt || mAttempt->mIsMismatched) {
+  if (!mAttempt) {
+    return;
+  }
+  if (mAttempt->mIsMismatched) {
+    mAttempt->mDiscardedBytes += aBytes.size();
+    if (mAttempt->mDiscardedBytes > kMaxDiscardedBytes) {
+      HandleBrokenAttempt("response to another request does not end");
+    }
     return;
   }
   if (mAttempt->mIsForwarded) {
     ForwardBody(aBytes);
     return;
   }
+  BufferBody(aBytes);
+}
+
+void
+Exchange::BufferBody(std::string_view aBytes)
+{
   mAttempt->mBody.append(aBytes);
+  if (mAttempt->mBody.size() <= kMaxBufferedResponseBytes) {
+    return;
+  }
+  if (mAttempt->mMetadata.mIsNotExecuted) {
+    HandleNotExecuted();
+    return;
+  }
   const bool isOk = mAttempt->mHead->mStatus / 100 == 2;
-  if (mAttempt->mBody.size() > kMaxBufferedResponseBytes && isOk) {
-    const std::string body = std::move(mAttempt->mBody);
-    mAttempt->mBody.clear();
-    ForwardHead();
-    ForwardBody(body);
+  // A failure of unstated length may be bytes without end.
+  const bool isBounded = isOk || mAttempt->mHead->mLength.has_value();
+  if (mHasBegunResponse || !isBounded) {
+    HandleBrokenAttempt("response is too large");
+    return;
   }
+  const std::string body = std::move(mAttempt->mBody);
+  mAttempt->mBody.clear();
+  ForwardHead();
+  ForwardBody(body);
 }
 
 void
 Exchange::ForwardHead()
 {
   mAttempt->mIsForwarded = true;
+  mAttempt->mForwardedAt = mContext.mClock.Now();
   if (mHasBegunResponse) {
     return;
   }
@@ -311,27 +340,40 @@
 void
 Exchange::ForwardBody(std::string_view aBytes)
 {
-  mAttemptTimer.start(kStreamIdleTimeout);
-  if (!IsEventStream()) {
-    mCaller->WriteBody(aBytes);
-  } else {
-    const std::string events = mEvents.Append(aBytes);
-    if (mEvents.HasGap()) {
-      AbortResponse("resumed stream skips events");
+  if (IsEventStream()) {
+    if (!ForwardEvents(aBytes)) {
       return;
     }
-    if (!events.empty()) {
-      RecordPause();
-    }
-    mCaller->WriteBody(events);
+  } else {
+    RecordForward();
+    mCaller->WriteBody(aBytes);
   }
   if (mCaller->Pending() > kMaxPendingBytes) {
     mAttempt->mLease.mConnection->SetReading(false);
   }
 }
 
+bool
+Exchange::ForwardEvents(std::string_view aBytes)
+{
+  const std::string events = mEvents.Append(aBytes);
+  if (mEvents.HasGap()) {
+    AbortResponse("resumed stream skips events");
+    return false;
+  }
+  if (!events.empty()) {
+    RecordForward();
+    mCaller->WriteBody(events);
+  }
+  if (mEvents.PendingBytes() > kMaxEventBytes) {
+    HandleBrokenAttempt("event is too large");
+    return false;
+  }
+  return true;
+}
+
 void
-Exchange::RecordPause()
+Exchange::RecordForward()
 {
   const auto now = mContext.mClock.Now();
   if (mLastForward) {
@@ -339,6 +381,7 @@
       std::max(mLongestPause, duration_cast<milliseconds>(now - *mLastForward));
   }
   mLastForward = now;
+  mAttempt->mForwardedAt = now;
 }
 
 void
@@ -532,14 +575,15 @@
     Retry("no_connection");
     return;
   }
-  const auto age =
-    duration_cast<milliseconds>(mContext.mClock.Now() - mAttempt->mSentAt);
+  const bool isForwarded = mAttempt->mIsForwarded;
+  const auto since = isForwarded ? mAttempt->mForwardedAt : mAttempt->mSentAt;
+  const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
   const milliseconds limit =
-    IsEventStream()
+    IsEventStream() || isForwarded
       ? kStreamIdleTimeout
       : duration_cast<milliseconds>((mDeadline - mRequest.mArrival) *
                                     kIdempotentTimeoutFraction);
-  if (!mAttempt->mIsForwarded && age < limit) {
+  if (age < limit) {
     mAttemptTimer.start(limit - age);
     return;
   }
@@ -555,7 +599,7 @@
   mLastFailure = "endpoint sent no data in time";
   LOGW("Endpoint sent no data in time; retrying on another endpoint. request="
        << mMetadata.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
-       << " attemptMilliseconds=" << age.count());
+       << " silentMilliseconds=" << age.count());
   EndAttempt(EndpointOutcome::Failed);
   if (mHasBegunResponse) {
     mEvents.BeginResumption();
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -41,8 +41,12 @@
     std::string mBody;
     /** The response belongs to another request. */
     bool mIsMismatched = false;
+    /** Bytes of responses to other requests. */
+    size_t mDiscardedBytes = 0;
     bool mIsForwarded = false;
     global::TimePoint mSentAt{};
+    /** When the head, or the last complete data, was forwarded. */
+    global::TimePoint mForwardedAt{};
   };
 
   /** Looks up the route and selects a pool. If the request may not be served,
@@ -62,6 +66,8 @@
   net::HttpClientConnection::Handlers ResponseHandlers();
   void HandleHead(const net::AnswerHead& aHead);
   void HandleBody(std::string_view aBytes);
+  /** Buffers data of a response that is not being forwarded. */
+  void BufferBody(std::string_view aBytes);
   void HandleEnd(net::AnswerEnd aEnd);
   void HandleComplete();
   void HandleNotExecuted();
@@ -80,7 +86,10 @@
   void Retry(const std::string& aReason);
   void ForwardHead();
   void ForwardBody(std::string_view aBytes);
-  void RecordPause();
+  /** Forwards the events that the bytes complete. Returns whether the stream
+   * can go on. */
+  bool ForwardEvents(std::string_view aBytes);
+  void RecordForward();
   /** Sends a response that the gateway generates itself. */
   void RespondLocally(unsigned aStatus,
                       const std::string& aReason,
@@ -123,9 +132,9 @@
   bool mIsFinished = false;
   unsigned mResponseStatus = 0;
   std::optional<milliseconds> mTimeToFirstByte;
-  /** When data of a stream was last forwarded. */
+  /** When data was last forwarded, by any attempt. */
   std::optional<global::TimePoint> mLastForward;
-  /** Longest time between two pieces of a stream. */
+  /** Longest time between two pieces of the response. */
   milliseconds mLongestPause{ 0 };
   std::string mLastFailure;
   std::string mLastEndpoint;
--- a/src/rankagent/internal/engineclient.cpp
+++ b/src/rankagent/internal/engineclient.cpp
@@ -16,6 +16,9 @@
  * it. */
 constexpr milliseconds kOrderTimeout{ 60 };
 constexpr size_t kMaxLoggedBytes = 120;
+/** Bound on an answer's body; the counts of the largest groups take about
+ * 100 KB. */
+constexpr size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 constexpr size_t kMaxQueuedCalls = 64;
 
 }
@@ -140,13 +143,23 @@
     mCalls.front().mRequest,
     { .mOnHead =
         [this](const net::AnswerHead& aHead) { mStatus = aHead.mStatus; },
-      .mOnBody = [this](std::string_view aBytes) { mBody.append(aBytes); },
+      .mOnBody = [this](std::string_view aBytes) { HandleBody(aBytes); },
       .mOnEnd =
         [this](net::AnswerEnd aEnd) {
           Finish(aEnd == net::AnswerEnd::Complete ? mStatus : 0);
         } });
 }
 
+void
+EngineClient::HandleBody(std::string_view aBytes)
+{
+  mBody.append(aBytes);
+  if (mBody.size() > kMaxAnswerBytes) {
+    LOGW("An answer of the engine does not end. engine=" << ToText(mEngine));
+    Finish(0);
+  }
+}
+
 void
 EngineClient::Finish(unsigned aStatus)
 {
--- a/src/rankagent/internal/engineclient.h
+++ b/src/rankagent/internal/engineclient.h
@@ -39,6 +39,7 @@
                std::chrono::milliseconds aTimeout,
                OnAnswer aOnAnswer);
   void StartNext();
+  void HandleBody(std::string_view aBytes);
   void Finish(unsigned aStatus);
 
   const net::TcpAddress mEngine;
