Move the forwarding of a response out of Exchange

Exchange handled admission, attempts, timers and the bytes to the caller in one class. ResponseForwarder now owns the response: its head, events, resumption, times and back-pressure. One behaviour changes: a failure that is already being forwarded, because it is long and states its length, is not retried at its end.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -34,13 +34,8 @@
  * that they can still be retried. Those of streaming routes are forwarded at
  * once, and unsuccessful responses of any size only when complete. */
 constexpr size_t kMaxBufferedResponseBytes = 256 * 1024;
-/** Largest event of a stream. */
-constexpr size_t kMaxEventBytes = 256 * 1024;
 /** Most bytes of responses to other requests that are skipped. */
 constexpr size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
-/** Bytes not yet read by the caller above which reading from the endpoint is
- * paused. */
-constexpr size_t kMaxPendingBytes = 64 * 1024;
 /** Timeout of requests that state none. */
 constexpr milliseconds kDefaultTimeout{ 30000 };
 /** Delay after which a full pool probably has free capacity again: the duration
@@ -68,6 +63,7 @@
   , mOnEnd(std::move(aOnEnd))
   , mSnapshot(aContext.mSnapshot)
   , mMetadata(aContext.mCodec.ParseRequest(mRequest.mFields))
+  , mResponse(aContext.mClock, mCaller, mRequest.mArrival)
 {
   mDeadlineTimer.setSingleShot(true);
   mDeadlineTimer.setTimerType(Qt::PreciseTimer);
@@ -109,6 +105,7 @@
   }
   mAdmission = std::get<Admission>(result);
   mPool = PickPool(*mAdmission.mRoute, mContext.mRandom);
+  mResponse.SetEventStream(IsEventStream());
   return true;
 }
 
@@ -170,7 +167,7 @@
 void
 Exchange::FailRequest(const std::string& aReason)
 {
-  if (mHasBegunResponse) {
+  if (mResponse.HasBegun()) {
     AbortResponse(aReason);
     return;
   }
@@ -214,7 +211,7 @@
     metadata.mRemainingTime = std::max(milliseconds(1), RemainingTime());
   }
   metadata.mLastEventId =
-    mEvents.LastId() ? mEvents.LastId() : mMetadata.mLastEventId;
+    mResponse.LastEventId() ? mResponse.LastEventId() : mMetadata.mLastEventId;
   mContext.mCodec.SetAttemptFields(fields, metadata);
   return net::HeadText(mRequest.mMethod + " " + mRequest.mTarget + " HTTP/1.1",
                        fields) +
@@ -307,7 +304,7 @@
   const bool isOk = mAttempt->mHead->mStatus / 100 == 2;
   // A failure of unstated length may be bytes without end.
   const bool isBounded = isOk || mAttempt->mHead->mLength.has_value();
-  if (mHasBegunResponse || !isBounded) {
+  if (mResponse.HasBegun() || !isBounded) {
     HandleBrokenAttempt("response is too large");
     return;
   }
@@ -321,69 +318,30 @@
 Exchange::ForwardHead()
 {
   mAttempt->mIsForwarded = true;
-  mAttempt->mForwardedAt = mContext.mClock.Now();
-  if (mHasBegunResponse) {
-    return;
-  }
-  mHasBegunResponse = true;
-  mTimeToFirstByte = Elapsed();
-  mResponseStatus = mAttempt->mHead->mStatus;
-  http::fields fields = mAttempt->mHead->mFields;
-  RemoveHopByHopFields(fields);
-  fields.erase(http::field::content_length);
   if (mContext.mIsDraining) {
     mCaller->AnnounceClose();
   }
-  mCaller->BeginAnswer(mResponseStatus, std::move(fields));
+  mResponse.Begin(*mAttempt->mHead);
 }
 
 void
 Exchange::ForwardBody(std::string_view aBytes)
 {
-  if (IsEventStream()) {
-    if (!ForwardEvents(aBytes)) {
+  switch (mResponse.Write(aBytes)) {
+    case ForwardResult::SkippedEvents:
+      AbortResponse("resumed stream skips events");
       return;
-    }
-  } else {
-    RecordForward();
-    mCaller->WriteBody(aBytes);
+    case ForwardResult::EventTooLarge:
+      HandleBrokenAttempt("event is too large");
+      return;
+    case ForwardResult::Forwarded:
+      break;
   }
-  if (mCaller->Pending() > kMaxPendingBytes) {
+  if (mResponse.IsCallerBehind()) {
     mAttempt->mLease.mConnection->SetReading(false);
   }
 }
 
-bool
-Exchange::ForwardEvents(std::string_view aBytes)
-{
-  const std::string events = mEvents.Append(aBytes);
-  if (mEvents.HasGap()) {
-    AbortResponse("resumed stream skips events");
-    return false;
-  }
-  if (!events.empty()) {
-    RecordForward();
-    mCaller->WriteBody(events);
-  }
-  if (mEvents.PendingBytes() > kMaxEventBytes) {
-    HandleBrokenAttempt("event is too large");
-    return false;
-  }
-  return true;
-}
-
-void
-Exchange::RecordForward()
-{
-  const auto now = mContext.mClock.Now();
-  if (mLastForward) {
-    mLongestPause =
-      std::max(mLongestPause, duration_cast<milliseconds>(now - *mLastForward));
-  }
-  mLastForward = now;
-  mAttempt->mForwardedAt = now;
-}
-
 void
 Exchange::HandleCallerDrained()
 {
@@ -432,7 +390,7 @@
 {
   const unsigned status = mAttempt->mHead->mStatus;
   const bool isFailure = status >= 500;
-  if (isFailure && TryConsumeRetry()) {
+  if (isFailure && !mAttempt->mIsForwarded && TryConsumeRetry()) {
     mMayHaveExecuted = true;
     mLastFailure = "endpoint returned status " + std::to_string(status);
     LOGI(
@@ -443,22 +401,11 @@
     PlaceRequest();
     return;
   }
-  if (mHasBegunResponse && !mAttempt->mIsForwarded) {
+  if (mResponse.HasBegun() && !mAttempt->mIsForwarded) {
     AbortResponse("endpoint returned status " + std::to_string(status) +
                   " for a resumed stream");
     return;
   }
-  if (mAttempt->mIsForwarded) {
-    if (IsEventStream()) {
-      mCaller->WriteBody(mEvents.TakeRemainder());
-    }
-  } else {
-    mResponseStatus = status;
-    mTimeToFirstByte = Elapsed();
-    if (mContext.mIsDraining) {
-      mCaller->AnnounceClose();
-    }
-  }
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
   const std::string body = std::move(mAttempt->mBody);
@@ -469,13 +416,17 @@
   mContext.mBalancer.RecordOutcome(mAttempt->mEndpoint.mId,
                                    isFailure ? EndpointOutcome::Failed
                                              : EndpointOutcome::Succeeded);
-  const auto caller = mCaller;
-  Finish(status, "answered");
   if (isForwarded) {
-    caller->EndAnswer();
+    Finish(status, "answered");
+    mResponse.End();
     return;
   }
-  caller->Answer(status, std::move(fields), body);
+  if (mContext.mIsDraining) {
+    mCaller->AnnounceClose();
+  }
+  mResponse.BeginWhole(status);
+  Finish(status, "answered");
+  mCaller->Answer(status, std::move(fields), body);
 }
 
 void
@@ -510,7 +461,7 @@
   EndAttempt(wasReused ? EndpointOutcome::Inconclusive
                        : EndpointOutcome::Failed);
   if (!mAdmission.mRoute->IsRepeatable()) {
-    if (mHasBegunResponse) {
+    if (mResponse.HasBegun()) {
       AbortResponse(aReason);
     } else {
       RespondLocally(502, aReason);
@@ -544,8 +495,8 @@
     return;
   }
   mContext.mMetrics.Count("beryllever_repeats", { { "reason", aReason } });
-  if (mHasBegunResponse) {
-    mEvents.BeginResumption();
+  if (mResponse.HasBegun()) {
+    mResponse.BeginResumption();
   }
   PlaceRequest();
 }
@@ -576,7 +527,7 @@
     return;
   }
   const bool isForwarded = mAttempt->mIsForwarded;
-  const auto since = isForwarded ? mAttempt->mForwardedAt : mAttempt->mSentAt;
+  const auto since = isForwarded ? mResponse.LastForward() : mAttempt->mSentAt;
   const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
   const milliseconds limit =
     IsEventStream() || isForwarded
@@ -601,8 +552,8 @@
        << mMetadata.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
        << " silentMilliseconds=" << age.count());
   EndAttempt(EndpointOutcome::Failed);
-  if (mHasBegunResponse) {
-    mEvents.BeginResumption();
+  if (mResponse.HasBegun()) {
+    mResponse.BeginResumption();
   }
   PlaceRequest();
 }
@@ -613,7 +564,7 @@
   if (mIsFinished) {
     return;
   }
-  if (mHasBegunResponse) {
+  if (mResponse.HasBegun()) {
     AbortResponse("deadline passed during the response");
     return;
   }
@@ -661,7 +612,7 @@
   const auto self = shared_from_this();
   EndAttempt(EndpointOutcome::Inconclusive);
   const auto caller = mCaller;
-  Finish(mResponseStatus, "cut: " + aReason);
+  Finish(mResponse.Status(), "cut: " + aReason);
   caller->Cut();
 }
 
@@ -676,17 +627,15 @@
   }
   const std::string route =
     mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
-  LOGI("Ended. request=" << mMetadata.mRequestId << " route=" << route
-                         << " pool=" << mPool << " endpoint=" << mLastEndpoint
-                         << " status=" << aStatus << " attempts=" << mAttempts
-                         << " firstByteMilliseconds="
-                         << mTimeToFirstByte.value_or(milliseconds(-1)).count()
-                         << " longestPauseMilliseconds="
-                         << mLongestPause.count()
-                         << " milliseconds=" << Elapsed().count()
-                         << " version=" << mSnapshot->Version()
-                         << " revision=" << mContext.mSnapshot->Revision()
-                         << " outcome=\"" << aOutcome << "\"");
+  LOGI("Ended. request="
+       << mMetadata.mRequestId << " route=" << route << " pool=" << mPool
+       << " endpoint=" << mLastEndpoint << " status=" << aStatus
+       << " attempts=" << mAttempts << " firstByteMilliseconds="
+       << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
+       << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
+       << " milliseconds=" << Elapsed().count() << " version="
+       << mSnapshot->Version() << " revision=" << mContext.mSnapshot->Revision()
+       << " outcome=\"" << aOutcome << "\"");
   mContext.mMetrics.Count("beryllever_requests",
                           { { "status", std::to_string(aStatus) } });
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "framework/net/httpserverconnection.h"
-#include "gateway/eventassembler.h"
 #include "gateway/internal/admission.h"
+#include "gateway/internal/responseforwarder.h"
 #include "gateway/internal/trafficcontext.h"
 
 #include <QTimer>
@@ -45,8 +44,6 @@
     size_t mDiscardedBytes = 0;
     bool mIsForwarded = false;
     global::TimePoint mSentAt{};
-    /** When the head, or the last complete data, was forwarded. */
-    global::TimePoint mForwardedAt{};
   };
 
   /** Looks up the route and selects a pool. If the request may not be served,
@@ -86,10 +83,6 @@
   void Retry(const std::string& aReason);
   void ForwardHead();
   void ForwardBody(std::string_view aBytes);
-  /** Forwards the events that the bytes complete. Returns whether the stream
-   * can go on. */
-  bool ForwardEvents(std::string_view aBytes);
-  void RecordForward();
   /** Sends a response that the gateway generates itself. */
   void RespondLocally(unsigned aStatus,
                       const std::string& aReason,
@@ -128,17 +121,10 @@
   bool mMayHaveExecuted = false;
   /** An endpoint has stated that it did not run the request. */
   bool mWasRefused = false;
-  bool mHasBegunResponse = false;
   bool mIsFinished = false;
-  unsigned mResponseStatus = 0;
-  std::optional<milliseconds> mTimeToFirstByte;
-  /** When data was last forwarded, by any attempt. */
-  std::optional<global::TimePoint> mLastForward;
-  /** Longest time between two pieces of the response. */
-  milliseconds mLongestPause{ 0 };
   std::string mLastFailure;
   std::string mLastEndpoint;
-  EventAssembler mEvents;
+  ResponseForwarder mResponse;
   QTimer mDeadlineTimer;
   QTimer mAttemptTimer;
 };
--- /dev/null
+++ b/src/gateway/internal/responseforwarder.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "framework/net/httpclientconnection.h"
+#include "framework/net/httpserverconnection.h"
+#include "gateway/eventassembler.h"
+
+#include <optional>
+
+namespace beryllever::gateway {
+
+using std::chrono::milliseconds;
+
+/** Result of forwarding a part of a response. */
+enum class ForwardResult
+{
+  Forwarded,
+  /** A resumed stream left out events, which are lost. */
+  SkippedEvents,
+  /** The endpoint does not end an event. */
+  EventTooLarge,
+};
+
+/**
+ * Forwards a response to the caller while it arrives, event by event if it is a
+ * stream. Several attempts may contribute to the response; it keeps the head of
+ * the first one.
+ */
+class ResponseForwarder
+{
+public:
+  /** aArrival is when the request arrived. */
+  ResponseForwarder(const global::IClock& aClock,
+                    std::shared_ptr<net::HttpServerConnection> aCaller,
+                    global::TimePoint aArrival);
+
+  void SetEventStream(bool aIsEventStream) { mIsEventStream = aIsEventStream; }
+  bool HasBegun() const { return mStatus != 0; }
+  /** Forwards the head, or ignores it if the response has begun. */
+  void Begin(const net::AnswerHead& aHead);
+  /** Records that a whole response is about to be sent by other means. */
+  void BeginWhole(unsigned aStatus);
+  ForwardResult Write(std::string_view aBytes);
+  /** Discards a partial event; another attempt continues after LastEventId().
+   */
+  void BeginResumption() { mEvents.BeginResumption(); }
+  void End();
+
+  /** Status of the response; 0 if it has not begun. */
+  unsigned Status() const { return mStatus; }
+  std::optional<int64_t> LastEventId() const { return mEvents.LastId(); }
+  std::optional<milliseconds> TimeToFirstByte() const
+  {
+    return mTimeToFirstByte;
+  }
+  /** When the head or data was last forwarded. */
+  global::TimePoint LastForward() const { return mLastForward; }
+  /** Longest time between two parts of the body. */
+  milliseconds LongestPause() const { return mLongestPause; }
+  /** Whether the caller reads so slowly that no more data should be read from
+   * the endpoint. */
+  bool IsCallerBehind() const;
+
+private:
+  ForwardResult WriteEvents(std::string_view aBytes);
+  void RecordForward();
+
+  const global::IClock& mClock;
+  const std::shared_ptr<net::HttpServerConnection> mCaller;
+  const global::TimePoint mArrival;
+  EventAssembler mEvents;
+  bool mIsEventStream = false;
+  bool mHasBody = false;
+  unsigned mStatus = 0;
+  std::optional<milliseconds> mTimeToFirstByte;
+  global::TimePoint mLastForward{};
+  milliseconds mLongestPause{ 0 };
+};
+
+}
