Follow shifts of expert demand that are small against a fixed threshold

Cause: the leader took a window for a shift of demand only if it was 0.27 away from its smoothed counts, and gave it a weight of 0.15 otherwise. 0.27 had been read off a group of 12 ranks and 72 experts. With 63 ranks and 252 experts a shift moves 0.17 to 0.21, so each one was followed over 4 s, until the next one came.

Now a shift is judged against how much the group's own windows differ while its demand is steady: the estimate is outdated if the last two windows agree with each other better than the last one with the estimate. The estimate then starts anew and averages the windows since. A window that differs from both is taken for one in which demand shifts, and no map is planned from it.

--- a/src/rankagent/internal/demandtracker.cpp
+++ b/src/rankagent/internal/demandtracker.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/log/log.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace beryllever::rankagent {
@@ -9,33 +10,48 @@
 namespace {
 
 constexpr char kLogTag[] = "group";
-/** Weight of a new window in the moving average. Demand shifts every few
- * seconds and has to be followed within one second. */
-constexpr double kWindowWeight = 0.15;
-/** Distance of a window from the moving average above which demand has shifted.
- * Windows of steady demand differ by less than 0.2. */
-constexpr double kShiftDistance = 0.27;
-/** Weight of a window in which demand has shifted. */
-constexpr double kShiftWeight = 0.85;
+/** Smallest weight of a new window in the estimate, which bounds its age. */
+constexpr double kMinWindowWeight = 0.15;
+/** Two consecutive windows that agree by this factor better than the last one
+ * agrees with the estimate show that the estimate is outdated. */
+constexpr double kOutdatedFactor = 1.3;
+/** Multiple of the distance between windows of steady demand from which on a
+ * distance is a shift. */
+constexpr double kShiftFactor = 2;
+/** Weight of a window in the distance of steady demand. */
+constexpr double kSteadyWeight = 0.2;
+/** Distances below this make no difference to a map. */
+constexpr double kMinDistance = 0.02;
 /** Windows with fewer selections carry too little information and are ignored.
  */
 constexpr double kMinSelections = 200;
 
+double
+MeanDistance(const std::vector<rebalancing::Popularity>& aFrom,
+             const std::vector<rebalancing::Loads>& aWindow)
+{
+  double sum = 0;
+  for (size_t layer = 0; layer < aWindow.size(); ++layer) {
+    sum += aFrom[layer].DistanceTo(aWindow[layer]);
+  }
+  return sum / static_cast<double>(aWindow.size());
+}
+
 }
 
 DemandTracker::DemandTracker(size_t aLayers, size_t aExperts)
   : mLayers(aLayers)
   , mExperts(aExperts)
-  , mPopularity(aLayers, rebalancing::Popularity(aExperts))
+  , mEstimate(aLayers, rebalancing::Popularity(aExperts))
+  , mLastWindow(mEstimate)
 {
 }
 
-std::vector<rebalancing::Loads>
+DemandTracker::Windows
 DemandTracker::ComputeWindow(
   const std::vector<std::optional<RankSample>>& aSamples)
 {
-  std::vector<rebalancing::Loads> window(mLayers,
-                                         rebalancing::Loads(mExperts, 0));
+  Windows window(mLayers, rebalancing::Loads(mExperts, 0));
   for (size_t rank = 0; rank < aSamples.size(); ++rank) {
     const std::vector<uint64_t>& counts = aSamples[rank]->mCounts;
     std::vector<uint64_t>& last = mLastCounts[rank];
@@ -62,27 +78,40 @@
     mEpoch = first.mEpoch;
     mLastCounts.assign(aSamples.size(), {});
   }
-  const std::vector<rebalancing::Loads> window = ComputeWindow(aSamples);
+  const Windows window = ComputeWindow(aSamples);
   double sum = 0;
-  double distance = 0;
-  for (size_t layer = 0; layer < mLayers; ++layer) {
-    sum += std::accumulate(window[layer].begin(), window[layer].end(), 0.0);
-    distance += mPopularity[layer].DistanceTo(window[layer]) /
-                static_cast<double>(mLayers);
+  for (const rebalancing::Loads& loads : window) {
+    sum += std::accumulate(loads.begin(), loads.end(), 0.0);
   }
-  if (sum < kMinSelections) {
-    return;
+  if (sum >= kMinSelections) {
+    AddWindow(window);
   }
-  const bool hasShifted = distance > kShiftDistance;
-  if (hasShifted && !mHasShifted) {
-    LOGI("Demand for experts has shifted. group=" << first.mGroup
-                                                  << " distance=" << distance);
+}
+
+void
+DemandTracker::AddWindow(const Windows& aWindow)
+{
+  const double toEstimate = MeanDistance(mEstimate, aWindow);
+  const double toLast = MeanDistance(mLastWindow, aWindow);
+  const double minShift =
+    std::max(kMinDistance, kShiftFactor * mSteadyDistance.value_or(0));
+  const bool isOutdated =
+    toEstimate > std::max(minShift, kOutdatedFactor * toLast);
+  mIsShifting = !isOutdated && mSteadyDistance && toLast > minShift;
+  if (isOutdated) {
+    LOGI("Demand for experts has shifted. distance="
+         << toEstimate << " betweenWindows=" << toLast);
+    mWindows = 0;
+  } else if (!mIsShifting && mWindows > 0) {
+    const double steady = mSteadyDistance.value_or(toLast);
+    mSteadyDistance = steady + kSteadyWeight * (toLast - steady);
   }
-  mHasShifted = hasShifted;
-  mHasDemand = true;
+  ++mWindows;
+  const double weight =
+    std::max(kMinWindowWeight, 1 / static_cast<double>(mWindows));
   for (size_t layer = 0; layer < mLayers; ++layer) {
-    mPopularity[layer].AddWindow(window[layer],
-                                 hasShifted ? kShiftWeight : kWindowWeight);
+    mEstimate[layer].AddWindow(aWindow[layer], weight);
+    mLastWindow[layer].AddWindow(aWindow[layer], 1);
   }
 }
 
--- a/src/rankagent/internal/demandtracker.h
+++ b/src/rankagent/internal/demandtracker.h
@@ -11,7 +11,8 @@
 /**
  * Estimates the demand for each expert of a group from the cumulative selection
  * counts of its ranks. Demand drifts slowly and occasionally shifts abruptly to
- * other experts.
+ * other experts. What counts as a shift depends on how much the group's windows
+ * differ anyway, which its size and load decide.
  */
 class DemandTracker
 {
@@ -20,28 +21,34 @@
 
   /** Adds one sample of every rank. Samples without counts are ignored. */
   void AddSamples(const std::vector<std::optional<RankSample>>& aSamples);
-  /** Whether demand shifted in the last window, which then mixes old and new
-   * demand. */
-  bool HasShifted() const { return mHasShifted; }
-  bool HasDemand() const { return mHasDemand; }
+  /** Whether demand shifted during the last window, which then mixes old and
+   * new demand. The next window shows the new demand alone. */
+  bool IsShifting() const { return mIsShifting; }
+  bool HasDemand() const { return mWindows > 0; }
   /** Smoothed number of selections per window of each expert of a layer. */
   const rebalancing::Loads& Demand(size_t aLayer) const
   {
-    return mPopularity[aLayer].Smoothed();
+    return mEstimate[aLayer].Smoothed();
   }
 
 private:
+  using Windows = std::vector<rebalancing::Loads>;
+
   /** Returns the selections since the previous samples, by layer and expert. */
-  std::vector<rebalancing::Loads> ComputeWindow(
-    const std::vector<std::optional<RankSample>>& aSamples);
+  Windows ComputeWindow(const std::vector<std::optional<RankSample>>& aSamples);
+  void AddWindow(const Windows& aWindow);
 
   const size_t mLayers;
   const size_t mExperts;
   uint64_t mEpoch = 0;
   std::vector<std::vector<uint64_t>> mLastCounts;
-  std::vector<rebalancing::Popularity> mPopularity;
-  bool mHasShifted = false;
-  bool mHasDemand = false;
+  std::vector<rebalancing::Popularity> mEstimate;
+  std::vector<rebalancing::Popularity> mLastWindow;
+  /** Windows that the estimate averages. */
+  size_t mWindows = 0;
+  /** Smoothed distance between consecutive windows of steady demand. */
+  std::optional<double> mSteadyDistance;
+  bool mIsShifting = false;
 };
 
 }
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -400,8 +400,7 @@
 GroupLeader::Plan()
 {
   const ExpertMap current = CurrentMap();
-  // The first window after a shift mixes old and new demand.
-  if (mClock.Now() < mNextPlanTime || mDemand->HasShifted() ||
+  if (mClock.Now() < mNextPlanTime || mDemand->IsShifting() ||
       !mDemand->HasDemand() || current.empty()) {
     return;
   }
--- a/src/rankagent/tests/demandtrackertest.cpp
+++ b/src/rankagent/tests/demandtrackertest.cpp
@@ -40,10 +40,10 @@
   Choose(0, 1000);
 
   Choose(1, 1000);
-  CHECK(mTracker.HasShifted());
+  CHECK(mTracker.IsShifting());
   Choose(1, 1000);
 
-  CHECK_FALSE(mTracker.HasShifted());
+  CHECK_FALSE(mTracker.IsShifting());
   CHECK(mTracker.Demand(0)[1] > 5 * mTracker.Demand(0)[0]);
 }
 
@@ -67,6 +67,6 @@
 
   Choose(3, 100);
 
-  CHECK_FALSE(mTracker.HasShifted());
+  CHECK_FALSE(mTracker.IsShifting());
   DOUBLES_EQUAL(0, mTracker.Demand(0)[3], 0.001);
 }
--- a/src/rankagent/tests/mapplannertest.cpp
+++ b/src/rankagent/tests/mapplannertest.cpp
@@ -71,11 +71,13 @@
     : mRandom(aSeed)
   {
     Shift();
+    mLoadsBefore = mLoads;
   }
 
   /** Moves the part of the demand that shifts to other experts. */
   void Shift()
   {
+    mLoadsBefore = mLoads;
     for (size_t layer = 0; layer < kLayers; ++layer) {
       rebalancing::Loads shifting = SkewedLoads();
       std::shuffle(shifting.begin(), shifting.end(), mRandom);
@@ -92,7 +94,8 @@
     return mLoads[aLayer];
   }
 
-  /** Counts of all ranks after one more window. */
+  /** Counts of all ranks after one more window. A shift falls into the middle
+   * of a window. */
   std::vector<std::optional<RankSample>> Sample()
   {
     std::normal_distribution<double> noise(1, kNoise);
@@ -101,11 +104,14 @@
       const double sum =
         std::accumulate(mLoads[layer].begin(), mLoads[layer].end(), 0.0);
       for (size_t expert = 0; expert < kExperts; ++expert) {
-        const double load = mLoads[layer][expert] / sum * kSelections;
+        const double load =
+          (mLoads[layer][expert] + mLoadsBefore[layer][expert]) / 2 / sum *
+          kSelections;
         mCounts[layer * kExperts + expert] +=
           static_cast<uint64_t>(load * std::max(0.0, noise(mRandom)));
       }
     }
+    mLoadsBefore = mLoads;
     std::vector<std::optional<RankSample>> samples(kRanks, RankSample());
     samples[0]->mCounts = mCounts;
     return samples;
@@ -128,6 +134,8 @@
 
   std::mt19937_64 mRandom;
   std::array<rebalancing::Loads, kLayers> mLoads;
+  /** Loads before the shift that falls into the current window. */
+  std::array<rebalancing::Loads, kLayers> mLoadsBefore;
   std::vector<uint64_t> mCounts;
 };
 
@@ -174,7 +182,7 @@
       return;
     }
     mTracker.AddSamples(aDemand.Sample());
-    if (!mTracker.HasDemand() || mTracker.HasShifted()) {
+    if (!mTracker.HasDemand() || mTracker.IsShifting()) {
       return;
     }
     MapPlan plan =
