Keep the bound of a cold endpoint when all gateways send at once

Cause: each gateway was granted its share of the bound as a rate. With 51 gateways the share is 0.77 a second, so each sent one request every 1.5 s, but nothing kept all 51 from sending theirs in the same second. Besides, a gateway that has just started knows few others and took the fleet for 8, for the budget of retries too.

Now, if the share is below one, only as many gateways as the bound allows may use the endpoint at all, by rendezvous hashing over the known gateways, each once in 1.15 s. A gateway counts those that have gone silent for 10 minutes. While it may not know all gateways it assumes 64, with placeholders for the names: until no new one has appeared for 2 s, or until one that knows them all has stated their number (new field known_gateways).

Tests: AllGatewaysAtOnceKeepTheColdBoundOfEachEndpoint (62 a second; before, 64, 100 and 390 gateways sent 64, 100 and 390), GatewaysThatKnowOnlyThemselves..., and MemberTable's three on what is known. KeepsTheColdBoundWhereAShareIsBelowOne Request is replaced by the first: it multiplied the average of one gateway over 60 s, which the fault passed; the new one adds up all gateways in one second. KeepsTheHighestNumberOfGatewaysSeen becomes CountsSilentGatewaysThatMayBeAlive, with the same steps and number.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/gatewayfleet.h"
 #include "published/snapshot.h"
 
 #include <deque>
@@ -26,12 +27,10 @@
   global::TimePoint mReceivedAt{};
 };
 
-/** Limit on the requests to a cold endpoint, divided evenly among all gateways.
- */
+/** Limit on the requests to a cold endpoint, divided among all gateways. */
 struct ColdRateLimit
 {
-  /** Gateways that may be running, including this one. */
-  int mGatewayCount = 1;
+  GatewayFleet mFleet;
   /** Factor applied to the pool's cold requests per second. */
   double mColdOverage = 1;
   /** Requests per second added to the product. */
@@ -88,10 +87,7 @@
 public:
   EndpointBalancer(const global::IClock& aClock, uint64_t aSeed);
 
-  void SetColdRateLimit(const ColdRateLimit& aLimit)
-  {
-    mColdRateLimit = aLimit;
-  }
+  void SetColdRateLimit(const ColdRateLimit& aLimit);
   void RecordReport(const std::string& aEndpoint, const LoadReport& aReport);
   /** Removes idle endpoints that are not in the snapshot. */
   void RemoveMissing(const published::Snapshot& aSnapshot);
@@ -133,7 +129,10 @@
   /** Returns the best of a few candidates drawn at random. */
   const published::Endpoint* PickFromSample(std::vector<Candidate> aCandidates);
   bool IsColdLimitReached(const EndpointStats& aStats,
+                          const published::Endpoint& aEndpoint,
                           const published::Pool& aPool) const;
+  /** Rank of this gateway among all for the endpoint. */
+  size_t FleetRank(const published::Endpoint& aEndpoint) const;
   /** Requests at the endpoint, from its report and the changes since then. */
   double EstimatedRequests(const EndpointStats& aStats) const;
   double FailureScore(const EndpointStats& aStats) const;
@@ -141,6 +140,8 @@
   const global::IClock& mClock;
   std::mt19937_64 mRandom;
   ColdRateLimit mColdRateLimit;
+  /** Rank of this gateway among all for each endpoint, computed on demand. */
+  mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
 };
 
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -38,6 +38,13 @@
 {
 }
 
+void
+EndpointBalancer::SetColdRateLimit(const ColdRateLimit& aLimit)
+{
+  mColdRateLimit = aLimit;
+  mFleetRanks.clear();
+}
+
 void
 EndpointBalancer::RecordReport(const std::string& aEndpoint,
                                const LoadReport& aReport)
@@ -54,6 +61,9 @@
     return aStats.second.mOutstanding == 0 &&
            aSnapshot.FindEndpoint(aStats.first) == nullptr;
   });
+  std::erase_if(mFleetRanks, [&](const auto& aRank) {
+    return aSnapshot.FindEndpoint(aRank.first) == nullptr;
+  });
 }
 
 Placement
@@ -96,7 +106,7 @@
     aStats.mReport && !aStats.mReport->mIsOpen &&
     mClock.Now() - aStats.mReport->mReceivedAt < kMaxReportAge;
   return EstimatedRequests(aStats) < capacity && !isClosed &&
-         !IsColdLimitReached(aStats, aPool);
+         !IsColdLimitReached(aStats, aEndpoint, aPool);
 }
 
 double
@@ -175,26 +185,39 @@
 
 bool
 EndpointBalancer::IsColdLimitReached(const EndpointStats& aStats,
+                                     const published::Endpoint& aEndpoint,
                                      const published::Pool& aPool) const
 {
   if (aPool.mColdRequestsPerSecond <= 0) {
     return false;
   }
   // Applied to warm endpoints too: an endpoint can turn cold at any moment.
-  const double share =
-    (aPool.mColdRequestsPerSecond * mColdRateLimit.mColdOverage +
-     mColdRateLimit.mColdTolerance) /
-    std::max(1, mColdRateLimit.mGatewayCount);
+  const double limit =
+    std::floor(aPool.mColdRequestsPerSecond * mColdRateLimit.mColdOverage +
+               mColdRateLimit.mColdTolerance);
+  const double share = limit / std::max(1, mColdRateLimit.mFleet.mCount);
+  // Only as many gateways may use the endpoint as may send at the same moment.
+  if (share < 1 && static_cast<double>(FleetRank(aEndpoint)) >= limit) {
+    return true;
+  }
   const double allowed = std::max(1.0, std::floor(share));
-  const auto window = duration_cast<global::Duration>(
-    kColdLimitWindow * std::max(1.0, 1.0 / share));
-  const auto since = mClock.Now() - window;
+  const auto since = mClock.Now() - kColdLimitWindow;
   const auto recent = std::count_if(aStats.mSendTimes.begin(),
                                     aStats.mSendTimes.end(),
                                     [&](auto aSend) { return aSend > since; });
   return static_cast<double>(recent) >= allowed;
 }
 
+size_t
+EndpointBalancer::FleetRank(const published::Endpoint& aEndpoint) const
+{
+  const auto [it, isNew] = mFleetRanks.try_emplace(aEndpoint.mId, 0);
+  if (isNew) {
+    it->second = mColdRateLimit.mFleet.RankFor(aEndpoint.mId);
+  }
+  return it->second;
+}
+
 double
 EndpointBalancer::EstimatedRequests(const EndpointStats& aStats) const
 {
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -28,9 +28,10 @@
 constexpr double kAcceptGraceFraction = 0.4;
 /** Part of the grace time that is reserved for stopping the process. */
 constexpr milliseconds kStopReserve{ 300 };
-/** Least number of gateways assumed to share a limit, because not all peers are
- * known after a start. */
+/** Least number of gateways assumed to share a limit. */
 constexpr int kMinGatewayCount = 8;
+/** Number of gateways assumed while not all of them are known. */
+constexpr int kUnknownGatewayCount = 64;
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -114,13 +115,18 @@
                        mSite.mColdOverage,
                        mSite.mColdTolerance,
                        mMaxBufferedBytes },
-                     EstimatedGatewayCount());
+                     Fleet());
 }
 
-int
-GatewayNode::EstimatedGatewayCount()
+GatewayFleet
+GatewayNode::Fleet()
 {
-  return std::max(kMinGatewayCount, mMesh.Members().MaxGatewaysSeen());
+  const mesh::MemberTable& members = mMesh.Members();
+  mKnowsAllGateways = members.KnowsAllGateways();
+  const int least = mKnowsAllGateways ? kMinGatewayCount : kUnknownGatewayCount;
+  return { members.Self().mVm,
+           members.KnownGateways(),
+           std::max(least, members.GatewayCount()) };
 }
 
 void
@@ -338,6 +344,10 @@
 GatewayNode::Tick()
 {
   UpdateStoreAccess();
+  if (mKnowsAllGateways != mMesh.Members().KnowsAllGateways()) {
+    LOGI("All gateways are known. gateways=" << mMesh.Members().GatewayCount());
+    ApplyLimits();
+  }
   if (mIsReadingStore && mState.Revision() > mAnnouncedRevision) {
     mAnnouncedRevision = mState.Revision();
     mMesh.AnnounceRevision();
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -65,9 +65,8 @@
 private:
   PageResponse ReadinessPage(const net::ServerRequest& aRequest) const;
   PageResponse AddressPage(const net::ServerRequest& aRequest) const;
-  /** Number of gateways assumed to share a limit: the most seen alive at the
-   * same time, but at least kMinGatewayCount. */
-  int EstimatedGatewayCount();
+  /** The gateways that share the limits of the site. */
+  GatewayFleet Fleet();
   void ApplyLimits();
   /** Passes the current snapshot on to the traffic server and calls
    * UpdateServing. */
@@ -99,6 +98,7 @@
   /** Last revision announced to the peers that do not read the store. */
   uint64_t mAnnouncedRevision = 0;
   bool mIsDraining = false;
+  bool mKnowsAllGateways = false;
   bool mHasStoppedAccepting = false;
   /** When a gateway that is shutting down stops accepting requests. */
   global::TimePoint mAcceptDeadline{};
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -51,12 +51,12 @@
 }
 
 void
-TrafficContext::SetLimits(const SiteLimits& aLimits, int aGatewayCount)
+TrafficContext::SetLimits(const SiteLimits& aLimits, const GatewayFleet& aFleet)
 {
   mLimits = aLimits;
-  mGatewayCount = aGatewayCount;
+  mGatewayCount = aFleet.mCount;
   mBalancer.SetColdRateLimit(
-    { aGatewayCount, aLimits.mColdOverage, aLimits.mColdTolerance });
+    { aFleet, aLimits.mColdOverage, aLimits.mColdTolerance });
   for (auto& [pool, budget] : mRetryBudgets) {
     budget.SetLimits({ mLimits.mRetryRatio,
                        mLimits.mRetryExtra,
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -23,7 +23,7 @@
                  std::string aAvailabilityZone);
 
   void SetSnapshot(std::shared_ptr<const published::Snapshot> aSnapshot);
-  void SetLimits(const SiteLimits& aLimits, int aGatewayCount);
+  void SetLimits(const SiteLimits& aLimits, const GatewayFleet& aFleet);
 
   /** Queues a request until capacity may have changed. Returns an id for
    * Dequeue. */
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -59,10 +59,10 @@
 }
 
 void
-TrafficServer::SetLimits(const SiteLimits& aLimits, int aGatewayCount)
+TrafficServer::SetLimits(const SiteLimits& aLimits, const GatewayFleet& aFleet)
 {
-  transport::Post(&mContext, [this, aLimits, aGatewayCount] {
-    mCore->Context().SetLimits(aLimits, aGatewayCount);
+  transport::Post(&mContext, [this, aLimits, aFleet] {
+    mCore->Context().SetLimits(aLimits, aFleet);
   });
 }
 
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -40,13 +40,51 @@
   global::ManualClock mClock;
   EndpointBalancer mBalancer{ mClock, 1 };
   PlacementRequest mRequest{ "engines", "a", {} };
+
+  /** Lets each of the gateways send what it may to one endpoint within a
+   * second, and returns the sum. Each gateway assumes a number of gateways, and
+   * knows the names of some: itself and those after it. */
+  static int CountSendsAtOnce(int aGateways, int aAssumed, int aKnown = 1000)
+  {
+    const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
+    int sent = 0;
+    for (int gateway = 0; gateway < aGateways; ++gateway) {
+      GatewayFleet fleet{ .mCount = aAssumed };
+      for (int i = 0; i < std::min(aKnown, aGateways); ++i) {
+        fleet.mNames.push_back("gateway-" +
+                               std::to_string((gateway + i) % aGateways));
+      }
+      fleet.mSelf = fleet.mNames.front();
+      sent += CountSends(*snapshot, { fleet, 1.5, 5 });
+    }
+    return sent;
+  }
+
+  static int CountSends(const published::Snapshot& aSnapshot,
+                        const ColdRateLimit& aLimit)
+  {
+    global::ManualClock clock;
+    EndpointBalancer balancer(clock, 1);
+    balancer.SetColdRateLimit(aLimit);
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+      if (balancer.Choose(aSnapshot, { "engines", "a", {} }).mStatus ==
+          PlacementStatus::Chosen) {
+        balancer.RecordSent("cold");
+        balancer.RecordOutcome("cold", EndpointOutcome::Succeeded);
+        ++sent;
+      }
+      clock.Advance(milliseconds(10));
+    }
+    return sent;
+  }
 };
 
 TEST(EndpointBalancer, KeepsItsShareOfTheColdBoundInEverySecond)
 {
   // Limit for all gateways together: 38 * 1.5 + 5 = 62 requests per second.
   constexpr int kGateways = 8;
-  mBalancer.SetColdRateLimit({ kGateways, 1.5, 5 });
+  mBalancer.SetColdRateLimit({ { .mCount = kGateways }, 1.5, 5 });
   const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
   std::deque<global::TimePoint> sends;
   for (int i = 0; i < 5000; ++i) {
@@ -65,24 +103,21 @@
   }
 }
 
-TEST(EndpointBalancer, KeepsTheColdBoundWhereAShareIsBelowOneRequest)
+TEST(EndpointBalancer, AllGatewaysAtOnceKeepTheColdBoundOfEachEndpoint)
 {
-  constexpr int kGateways = 390;
-  mBalancer.SetColdRateLimit({ kGateways, 1.5, 5 });
-  const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
-  int sent = 0;
-  constexpr int kSeconds = 60;
-  for (int i = 0; i < kSeconds * 100; ++i) {
-    if (mBalancer.Choose(*snapshot, mRequest).mStatus ==
-        PlacementStatus::Chosen) {
-      mBalancer.RecordSent("cold");
-      mBalancer.RecordOutcome("cold", EndpointOutcome::Succeeded);
-      ++sent;
-    }
-    mClock.Advance(milliseconds(10));
+  // Limit for all gateways together: 38 * 1.5 + 5 = 62 requests per second.
+  for (const int gateways : { 51, 64, 100, 390 }) {
+    LONGS_EQUAL(std::min(gateways, 62), CountSendsAtOnce(gateways, gateways));
+  }
+}
+
+TEST(EndpointBalancer, GatewaysThatKnowOnlyThemselvesKeepTheColdBound)
+{
+  for (const int gateways : { 8, 38, 51 }) {
+    const int sent = CountSendsAtOnce(gateways, 64, 1);
+    CHECK(sent >= gateways / 2);
+    CHECK(sent <= 62);
   }
-  CHECK(sent >= 1);
-  CHECK(sent * kGateways <= 62 * kSeconds);
 }
 
 TEST(EndpointBalancer, UsesNoEndpointThatIsOutOfService)
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/net/httpserverconnection.h"
+#include "gateway/gatewayfleet.h"
 #include "gateway/requestcodec.h"
 #include "gateway/sitelimits.h"
 #include "published/snapshot.h"
@@ -36,7 +37,7 @@
   bool Start(const net::TcpAddress& aAddress);
   void Stop();
   void SetSnapshot(std::shared_ptr<const published::Snapshot> aSnapshot);
-  void SetLimits(const SiteLimits& aLimits, int aGatewayCount);
+  void SetLimits(const SiteLimits& aLimits, const GatewayFleet& aFleet);
   /** Records the load that an agent reports for the endpoint at the address. */
   void UpdateLoad(const net::TcpAddress& aEndpoint,
                   int aRequests,
--- a/src/mesh/internal/membertable.cpp
+++ b/src/mesh/internal/membertable.cpp
@@ -14,12 +14,18 @@
 constexpr milliseconds kMemberTimeout{ 2500 };
 /** Time for which an expired process stays in the table. */
 constexpr std::chrono::seconds kExpiredRetention{ 60 };
+/** Time for which a silent gateway counts as one that may be alive. */
+constexpr std::chrono::minutes kGatewayRetention{ 10 };
+/** Time without a new gateway after which all are known. Several gossip rounds
+ * between zones. */
+constexpr milliseconds kDiscoveryTime{ 2000 };
 
 }
 
 MemberTable::MemberTable(const global::IClock& aClock, Member aSelf)
   : mClock(aClock)
   , mSelf(std::move(aSelf))
+  , mLastNewGateway(aClock.Now())
 {
 }
 
@@ -46,19 +52,61 @@
                          aMember.mIncarnation > entry.mMember.mIncarnation;
   const bool hasChanged = entry.mMember.mIsServing != aMember.mIsServing;
   entry = { aMember, deadline };
+  RecordGateway(aMember);
   if (hasJoined) {
-    const auto gateways = AliveWithRole(kGatewayRole).size() +
-                          (mSelf.mRole == kGatewayRole ? 1 : 0);
-    mMaxGatewaysSeen = std::max(mMaxGatewaysSeen, static_cast<int>(gateways));
     return MergeResult::Joined;
   }
   return hasChanged ? MergeResult::Changed : MergeResult::Refreshed;
 }
 
+void
+MemberTable::RecordGateway(const Member& aMember)
+{
+  if (aMember.mRole != kGatewayRole) {
+    return;
+  }
+  const auto now = mClock.Now();
+  if (mGateways.insert_or_assign(aMember.mVm, now).second) {
+    mLastNewGateway = now;
+  }
+  mStatedGateways =
+    std::max(mStatedGateways, static_cast<size_t>(aMember.mKnownGateways));
+}
+
+std::vector<std::string>
+MemberTable::KnownGateways() const
+{
+  std::vector<std::string> names;
+  if (mSelf.mRole == kGatewayRole) {
+    names.push_back(mSelf.mVm);
+  }
+  for (const auto& [vm, lastHeard] : mGateways) {
+    names.push_back(vm);
+  }
+  return names;
+}
+
+bool
+MemberTable::KnowsAllGateways() const
+{
+  const bool isDiscoveryOver =
+    !mGateways.empty() && mClock.Now() - mLastNewGateway >= kDiscoveryTime;
+  return mStatedGateways > 0 || isDiscoveryOver;
+}
+
+int
+MemberTable::GatewayCount() const
+{
+  return static_cast<int>(std::max(KnownGateways().size(), mStatedGateways));
+}
+
 std::vector<Member>
 MemberTable::Expire()
 {
   const auto now = mClock.Now();
+  std::erase_if(mGateways, [&](const auto& aGateway) {
+    return aGateway.second + kGatewayRetention <= now;
+  });
   std::vector<Member> expired;
   for (auto& [vm, entry] : mEntries) {
     if (!entry.mIsExpired && entry.mDeadline <= now) {
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -122,6 +122,8 @@
   Member& self = mMembers.Self();
   ++self.mHeartbeat;
   self.mPublishedRevision = mListener->PublishedRevision();
+  self.mKnownGateways =
+    mMembers.KnowsAllGateways() ? mMembers.GatewayCount() : 0;
   const std::vector<Member> expired = mMembers.Expire();
   for (const Member& member : expired) {
     LOGW("Peer has gone silent. vm=" << member.mVm << " role=" << member.mRole);
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -29,6 +29,7 @@
   aMessage.set_is_serving(aMember.mIsServing);
   aMessage.set_published_revision(aMember.mPublishedRevision);
   aMessage.set_store_access(static_cast<int>(aMember.mStoreAccess));
+  aMessage.set_known_gateways(static_cast<uint32_t>(aMember.mKnownGateways));
   if (aMember.mLoad) {
     v1::EndpointLoad& load = *aMessage.mutable_load();
     load.set_endpoint_address(aMember.mLoad->mEndpointAddress);
@@ -54,8 +55,9 @@
                  .mCallerAddress = aMessage.caller_address(),
                  .mIsServing = aMessage.is_serving(),
                  .mPublishedRevision = aMessage.published_revision(),
-                 .mStoreAccess =
-                   StoreAccessFromNumber(aMessage.store_access()) };
+                 .mStoreAccess = StoreAccessFromNumber(aMessage.store_access()),
+                 .mKnownGateways =
+                   static_cast<int>(aMessage.known_gateways()) };
   if (aMessage.has_load()) {
     member.mLoad = EndpointLoad{ aMessage.load().endpoint_address(),
                                  aMessage.load().requests(),
--- a/src/mesh/membertable.h
+++ b/src/mesh/membertable.h
@@ -37,10 +37,18 @@
   /** Members that have not expired, without this process. */
   std::vector<Member> Alive() const;
   std::vector<Member> AliveWithRole(const std::string& aRole) const;
-  /** Number of gateways that may be alive: the most seen alive at a time. */
-  int MaxGatewaysSeen() const { return mMaxGatewaysSeen; }
+  /** Names of the gateways that may be alive, with this one if it is a gateway.
+   * A gateway that has gone silent is kept for a while: it may be cut off. */
+  std::vector<std::string> KnownGateways() const;
+  /** Whether this process has learned of all gateways: no further one has
+   * appeared for a while, or a process that knows them all has been heard. */
+  bool KnowsAllGateways() const;
+  /** Number of gateways that may be alive, at least, by what is known. */
+  int GatewayCount() const;
 
 private:
+  void RecordGateway(const Member& aMember);
+
   struct Entry
   {
     Member mMember;
@@ -51,7 +59,12 @@
   const global::IClock& mClock;
   Member mSelf;
   std::map<std::string, Entry> mEntries;
-  int mMaxGatewaysSeen = 1;
+  /** When each gateway was last heard. */
+  std::map<std::string, global::TimePoint> mGateways;
+  /** When a gateway was heard for the first time; at first, the start. */
+  global::TimePoint mLastNewGateway;
+  /** Most gateways that a process which knows them all has stated. */
+  size_t mStatedGateways = 0;
 };
 
 }
--- a/src/mesh/meshtypes.h
+++ b/src/mesh/meshtypes.h
@@ -55,6 +55,9 @@
   uint64_t mPublishedRevision = 0;
   StoreAccess mStoreAccess = StoreAccess::None;
   std::optional<EndpointLoad> mLoad;
+  /** Gateways that the process knows of; 0 while it may not know all of them.
+   */
+  int mKnownGateways = 0;
 };
 
 /** Role names in settings and gossip messages. */
--- a/src/mesh/tests/membertabletest.cpp
+++ b/src/mesh/tests/membertabletest.cpp
@@ -65,11 +65,45 @@
   CHECK(mTable.Merge(leaving) == MergeResult::Changed);
 }
 
-TEST(MemberTable, KeepsTheHighestNumberOfGatewaysSeen)
+TEST(MemberTable, CountsSilentGatewaysThatMayBeAlive)
 {
   mTable.Merge(MemberNamed("x", 1, 1));
   mTable.Merge(MemberNamed("y", 1, 1));
   mClock.Advance(std::chrono::seconds(5));
+  mTable.Expire();
 
-  LONGS_EQUAL(3, mTable.MaxGatewaysSeen());
+  LONGS_EQUAL(3, mTable.GatewayCount());
+  LONGS_EQUAL(3, mTable.KnownGateways().size());
+}
+
+TEST(MemberTable, KnowsAllGatewaysWhenNoneHasAppearedForAWhile)
+{
+  CHECK_FALSE(mTable.KnowsAllGateways());
+  mTable.Merge(MemberNamed("x", 1, 1));
+  mClock.Advance(std::chrono::milliseconds(1500));
+  mTable.Merge(MemberNamed("y", 1, 1));
+  mClock.Advance(std::chrono::milliseconds(1500));
+  CHECK_FALSE(mTable.KnowsAllGateways());
+
+  mClock.Advance(std::chrono::milliseconds(500));
+
+  CHECK(mTable.KnowsAllGateways());
+}
+
+TEST(MemberTable, AGatewayThatHearsNobodyDoesNotKnowAll)
+{
+  mClock.Advance(std::chrono::minutes(5));
+
+  CHECK_FALSE(mTable.KnowsAllGateways());
+}
+
+TEST(MemberTable, TakesTheNumberOfGatewaysFromOneThatKnowsThem)
+{
+  Member settled = MemberNamed("x", 1, 1);
+  settled.mKnownGateways = 40;
+
+  mTable.Merge(settled);
+
+  CHECK(mTable.KnowsAllGateways());
+  LONGS_EQUAL(40, mTable.GatewayCount());
 }
