Pass maps on between rank agents

What callers saw: on a group of 63 ranks, passes stayed too long for 0.36 to 0.45 s after the leader had planned a better map.

Cause: the leader sent the whole map, about 5 KB, to each of 62 agents over a link of 8 Mbit/s: 0.3 s. Its process, a seventh of a core, also looked each agent up in a copy of the member list, for every call of every round.

Now the leader gives the order to the first rank of groups of about eight, within an availability zone, and their agents pass it on to the others. Outcomes come back the same way; a rank whose order got lost is asked directly in the next round, as before. The agents of the group are kept by rank, as of the last state of the engine.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -421,9 +421,11 @@
        << mLocalRank->mGroup << " version=" << mPreparingVersion << " epoch="
        << mPreparingEpoch << " imbalanceBefore=" << plan.ImbalanceBefore()
        << " imbalanceAfter=" << plan.ImbalanceAfter());
-  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
-    SendPrepare(rank);
-  }
+  mPort.OrderAll(
+    PrepareOrder(),
+    [this, version = mPreparingVersion](uint32_t aRank, OrderOutcome aOutcome) {
+      HandlePrepareOutcome(version, aRank, aOutcome);
+    });
   UpdateInterval();
 }
 
@@ -448,27 +450,38 @@
   mIsSettled = true;
 }
 
+RankOrder
+GroupLeader::PrepareOrder() const
+{
+  return { .mOperation = RankOperation::Prepare,
+           .mEpoch = mPreparingEpoch,
+           .mVersion = mPreparingVersion,
+           .mMap = mPreparingMap };
+}
+
 void
-GroupLeader::SendPrepare(size_t aRank)
-{
-  const RankState& state = mSamples[aRank]->mState;
-  RankOrder order{ .mOperation = RankOperation::Prepare,
-                   .mEpoch = state.mEpoch,
-                   .mVersion = mPreparingVersion,
-                   .mMap = mPreparingMap };
-  const uint64_t version = mPreparingVersion;
-  mPort.Order(static_cast<uint32_t>(aRank),
-              order,
-              [this, aRank, version](OrderOutcome aOutcome) {
-                if (aOutcome == OrderOutcome::Refused) {
-                  LOGW("A rank refuses to prepare the map. rank="
-                       << aRank << " version=" << version);
-                }
-                if (aOutcome == OrderOutcome::Unknown &&
-                    version == mPreparingVersion) {
-                  mUnansweredRanks.insert(aRank);
-                }
-              });
+GroupLeader::SendPrepare(uint32_t aRank)
+{
+  mPort.Order(
+    aRank,
+    PrepareOrder(),
+    [this, aRank, version = mPreparingVersion](OrderOutcome aOutcome) {
+      HandlePrepareOutcome(version, aRank, aOutcome);
+    });
+}
+
+void
+GroupLeader::HandlePrepareOutcome(uint64_t aVersion,
+                                  uint32_t aRank,
+                                  OrderOutcome aOutcome)
+{
+  if (aOutcome == OrderOutcome::Refused) {
+    LOGW("A rank refuses to prepare the map. rank=" << aRank
+                                                    << " version=" << aVersion);
+  }
+  if (aOutcome == OrderOutcome::Unknown && aVersion == mPreparingVersion) {
+    mUnansweredRanks.insert(aRank);
+  }
 }
 
 void
@@ -493,7 +506,7 @@
     return;
   }
   const bool isRetryDue = now >= mPrepareRetryTime;
-  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
+  for (uint32_t rank = 0; rank < mSamples.size(); ++rank) {
     const RankState& state = mSamples[rank]->mState;
     // A rank refuses a second order for a version that it has, so an unanswered
     // order can be repeated at once.
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -77,7 +77,11 @@
   std::vector<double> RankSlowdowns() const;
   /** Logs, once until the next change, that no better map is found. */
   void LogSettled(const MapPlan& aPlan);
-  void SendPrepare(size_t aRank);
+  RankOrder PrepareOrder() const;
+  void SendPrepare(uint32_t aRank);
+  void HandlePrepareOutcome(uint64_t aVersion,
+                            uint32_t aRank,
+                            OrderOutcome aOutcome);
   uint64_t NextVersion();
 
   uint64_t HeldStep() const;
@@ -116,7 +120,7 @@
   global::TimePoint mPrepareDeadline{};
   global::TimePoint mPrepareRetryTime{};
   /** Ranks whose last order to prepare was not answered. */
-  std::set<size_t> mUnansweredRanks;
+  std::set<uint32_t> mUnansweredRanks;
   uint64_t mHighestVersion = 0;
   /** Highest pass that this leader has used in a change. */
   uint64_t mHighestUsedStep = 0;
--- a/src/rankagent/internal/groupport.h
+++ b/src/rankagent/internal/groupport.h
@@ -32,6 +32,8 @@
 public:
   using OnSample = std::function<void(std::optional<RankSample>)>;
   using OnOutcome = std::function<void(OrderOutcome)>;
+  /** Called once for each rank. */
+  using OnRankOutcome = std::function<void(uint32_t, OrderOutcome)>;
 
   virtual ~IGroupPort() = default;
 
@@ -48,6 +50,9 @@
   virtual void Order(uint32_t aRank,
                      const RankOrder& aOrder,
                      OnOutcome aOnOutcome) = 0;
+  /** Gives an order with a map to all ranks. Agents pass it on to each other,
+   * so that the local link does not carry a copy for each rank. */
+  virtual void OrderAll(const RankOrder& aOrder, OnRankOutcome aOnOutcome) = 0;
 };
 
 }
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -25,6 +25,9 @@
 /** An order with a map sends several kilobytes to each of up to 256 ranks over
  * the leader's link. */
 constexpr milliseconds kMapOrderTimeout{ 2000 };
+/** Time for an order that is passed on; shorter, so that the leader still gets
+ * the other outcomes. */
+constexpr milliseconds kRelayedOrderTimeout{ 1000 };
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -146,14 +149,12 @@
     LOGI("The engine " << (aState ? "answers." : "does not answer."));
   }
   mRankState = aState;
+  mPeers.clear();
   auto& load = mMesh.Members().Self().mLoad;
   load.reset();
   if (mRankState) {
+    UpdatePeers();
     mLeader.SetRank(*mRankState);
-    for (const mesh::Member& member : GroupMembers()) {
-      mPeerEngines.SetEngineAddress(member.mLoad->mRank,
-                                    member.mLoad->mEndpointAddress);
-    }
     const bool takesWork =
       mRankState->mIsOpen && !mLeader.IsStalledFor(kStallTimeout);
     load = mesh::EndpointLoad{ mEndpointAddress,  mRankState->mRequests,
@@ -163,24 +164,28 @@
   }
 }
 
-std::vector<mesh::Member>
-RankNode::GroupMembers() const
+void
+RankNode::UpdatePeers()
 {
-  std::vector<mesh::Member> members =
-    mMesh.Members().AliveWithRole(mesh::kRankAgentRole);
-  std::erase_if(members, [this](const mesh::Member& aMember) {
-    return !mRankState || !aMember.mLoad ||
-           aMember.mLoad->mGroup != mRankState->mGroup;
-  });
-  return members;
+  mPeers.clear();
+  for (const mesh::Member& member :
+       mMesh.Members().AliveWithRole(mesh::kRankAgentRole)) {
+    if (member.mLoad && member.mLoad->mGroup == mRankState->mGroup) {
+      mPeers[member.mLoad->mRank] = { member.mPeerAddress,
+                                      member.mAvailabilityZone,
+                                      member.mLoad->mMayLead };
+      mPeerEngines.SetEngineAddress(member.mLoad->mRank,
+                                    member.mLoad->mEndpointAddress);
+    }
+  }
 }
 
 std::vector<uint32_t>
 RankNode::LiveRanks() const
 {
   std::vector<uint32_t> ranks;
-  for (const mesh::Member& member : GroupMembers()) {
-    ranks.push_back(member.mLoad->mRank);
+  for (const auto& [rank, peer] : mPeers) {
+    ranks.push_back(rank);
   }
   return ranks;
 }
@@ -189,9 +194,9 @@
 RankNode::EligibleRanks() const
 {
   std::vector<uint32_t> ranks;
-  for (const mesh::Member& member : GroupMembers()) {
-    if (member.mLoad->mMayLead) {
-      ranks.push_back(member.mLoad->mRank);
+  for (const auto& [rank, peer] : mPeers) {
+    if (peer.mMayLead) {
+      ranks.push_back(rank);
     }
   }
   return ranks;
@@ -206,9 +211,9 @@
   }
   std::vector<uint32_t> far;
   const std::string& ownZone = mMesh.Members().Self().mAvailabilityZone;
-  for (const mesh::Member& member : GroupMembers()) {
-    const bool isNear = member.mAvailabilityZone == ownZone;
-    (isNear ? ranks : far).push_back(member.mLoad->mRank);
+  for (const auto& [rank, peer] : mPeers) {
+    const bool isNear = peer.mAvailabilityZone == ownZone;
+    (isNear ? ranks : far).push_back(rank);
   }
   ranks.insert(ranks.end(), far.begin(), far.end());
   return ranks;
@@ -217,12 +222,8 @@
 std::string
 RankNode::AgentAddress(uint32_t aRank) const
 {
-  for (const mesh::Member& member : GroupMembers()) {
-    if (member.mLoad->mRank == aRank) {
-      return member.mPeerAddress;
-    }
-  }
-  return "";
+  const auto it = mPeers.find(aRank);
+  return it == mPeers.end() ? "" : it->second.mAddress;
 }
 
 void
@@ -276,29 +277,104 @@
     });
     return;
   }
+  CallOrder(address,
+            aOrder,
+            aOrder.mMap.empty() ? kOrderTimeout : kMapOrderTimeout,
+            [this, aRank, aOnOutcome](bool isAnswered, OrderOutcome aOutcome) {
+              if (!isAnswered) {
+                mPeerEngines.BypassAgent(aRank);
+              }
+              aOnOutcome(aOutcome);
+            });
+}
+
+void
+RankNode::OrderAgent(const std::string& aAgent,
+                     const RankOrder& aOrder,
+                     OnOutcome aOnOutcome)
+{
+  CallOrder(
+    aAgent,
+    aOrder,
+    kRelayedOrderTimeout,
+    [aOnOutcome](bool, OrderOutcome aOutcome) { aOnOutcome(aOutcome); });
+}
+
+void
+RankNode::CallOrder(const std::string& aAgent,
+                    const RankOrder& aOrder,
+                    milliseconds aTimeout,
+                    OnAgentOutcome aOnOutcome)
+{
   const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
-    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(address)));
+    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(aAgent)));
   mesh::v1::OrderRequest request;
   ToMessage(aOrder, request);
   transport::CallUnary<mesh::v1::OrderRequest, mesh::v1::OrderReply>(
     &mContext,
     std::move(request),
-    std::chrono::system_clock::now() +
-      (aOrder.mMap.empty() ? kOrderTimeout : kMapOrderTimeout),
+    std::chrono::system_clock::now() + aTimeout,
     [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Order(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [this, aRank, aOnOutcome](const grpc::Status& aStatus,
-                              const mesh::v1::OrderReply& aReply) {
+    [aOnOutcome](const grpc::Status& aStatus,
+                 const mesh::v1::OrderReply& aReply) {
+      aOnOutcome(aStatus.ok(),
+                 aStatus.ok() ? FromMessage(aReply) : OrderOutcome::Unknown);
+    });
+}
+
+void
+RankNode::OrderAll(const RankOrder& aOrder, OnRankOutcome aOnOutcome)
+{
+  std::map<std::string, std::vector<uint32_t>> relayed;
+  for (uint32_t rank = 0; mRankState && rank < mRankState->mSize; ++rank) {
+    const auto it = mPeers.find(rank);
+    if (it == mPeers.end() || mPeerEngines.IsAgentBypassed(rank)) {
+      Order(rank, aOrder, [rank, aOnOutcome](OrderOutcome aOutcome) {
+        aOnOutcome(rank, aOutcome);
+      });
+      continue;
+    }
+    relayed[it->second.mAvailabilityZone].push_back(rank);
+  }
+  for (const RelayGroup& group : PlanRelays(relayed)) {
+    CallRelay(group, aOrder, aOnOutcome);
+  }
+}
+
+void
+RankNode::CallRelay(const RelayGroup& aGroup,
+                    const RankOrder& aOrder,
+                    OnRankOutcome aOnOutcome)
+{
+  const auto stub =
+    std::shared_ptr<mesh::v1::RankControl::Stub>(mesh::v1::RankControl::NewStub(
+      mMesh.ChannelTo(AgentAddress(aGroup.front()))));
+  mesh::v1::RelayRequest request;
+  ToMessage(aOrder, *request.mutable_order());
+  for (size_t i = 1; i < aGroup.size(); ++i) {
+    request.add_agents(AgentAddress(aGroup[i]));
+  }
+  transport::CallUnary<mesh::v1::RelayRequest, mesh::v1::RelayReply>(
+    &mContext,
+    std::move(request),
+    std::chrono::system_clock::now() + kMapOrderTimeout,
+    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
+      stub->async()->Relay(aContext, aRequest, aReply, std::move(aOnEnd));
+    },
+    [this, aGroup, aOnOutcome](const grpc::Status& aStatus,
+                               const mesh::v1::RelayReply& aReply) {
       if (!aStatus.ok()) {
-        mPeerEngines.BypassAgent(aRank);
+        mPeerEngines.BypassAgent(aGroup.front());
       }
-      if (!aStatus.ok() || (!aReply.is_taken() && !aReply.is_refused())) {
-        aOnOutcome(OrderOutcome::Unknown);
-        return;
+      for (size_t i = 0; i < aGroup.size(); ++i) {
+        const int index = static_cast<int>(i);
+        aOnOutcome(aGroup[i],
+                   aStatus.ok() && index < aReply.replies_size()
+                     ? FromMessage(aReply.replies(index))
+                     : OrderOutcome::Unknown);
       }
-      aOnOutcome(aReply.is_taken() ? OrderOutcome::Accepted
-                                   : OrderOutcome::Refused);
     });
 }
 
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -8,6 +8,9 @@
 #include "rankagent/internal/groupleader.h"
 #include "rankagent/internal/peerengines.h"
 #include "rankagent/internal/rankservice.h"
+#include "rankagent/internal/relayplan.h"
+
+#include <map>
 
 namespace beryllever::rankagent {
 
@@ -44,17 +47,39 @@
   void Order(uint32_t aRank,
              const RankOrder& aOrder,
              OnOutcome aOnOutcome) override;
+  void OrderAll(const RankOrder& aOrder, OnRankOutcome aOnOutcome) override;
 
   void SampleLocal(SampleDepth aDepth, OnSample aOnSample) override;
   void OrderLocal(const RankOrder& aOrder, OnOutcome aOnOutcome) override;
+  void OrderAgent(const std::string& aAgent,
+                  const RankOrder& aOrder,
+                  OnOutcome aOnOutcome) override;
 
 private:
+  /** Agent of another rank. */
+  struct Peer
+  {
+    std::string mAddress;
+    std::string mAvailabilityZone;
+    bool mMayLead = false;
+  };
+
+  /** Called with whether the agent has answered, and with the outcome. */
+  using OnAgentOutcome = std::function<void(bool, OrderOutcome)>;
+
+  void CallOrder(const std::string& aAgent,
+                 const RankOrder& aOrder,
+                 std::chrono::milliseconds aTimeout,
+                 OnAgentOutcome aOnOutcome);
+  void CallRelay(const RelayGroup& aGroup,
+                 const RankOrder& aOrder,
+                 OnRankOutcome aOnOutcome);
   void ReadState();
   void HandleState(const std::optional<RankState>& aState);
   void FinishSample(RankSample aSample, const OnSample& aOnSample);
   std::string AgentAddress(uint32_t aRank) const;
-  /** Returns the other live agents of the local rank's group. */
-  std::vector<mesh::Member> GroupMembers() const;
+  /** Reads the other live agents of the local rank's group from the mesh. */
+  void UpdatePeers();
 
   QObject mContext;
   const std::string mEndpointAddress;
@@ -67,6 +92,8 @@
   GroupLeader mLeader;
   std::shared_ptr<RankService> mService;
   std::optional<RankState> mRankState;
+  /** Live agents of the group, by rank; as of the last state of the engine. */
+  std::map<uint32_t, Peer> mPeers;
   /** Cached experts of the local rank; valid for mPlacementEpoch and the map
    * version mPlacement.mVersion. */
   RankPlacement mPlacement;
--- a/src/rankagent/internal/rankservice.cpp
+++ b/src/rankagent/internal/rankservice.cpp
@@ -125,6 +125,22 @@
   return order;
 }
 
+void
+ToMessage(OrderOutcome aOutcome, mesh::v1::OrderReply& aMessage)
+{
+  aMessage.set_is_taken(aOutcome == OrderOutcome::Accepted);
+  aMessage.set_is_refused(aOutcome == OrderOutcome::Refused);
+}
+
+OrderOutcome
+FromMessage(const mesh::v1::OrderReply& aMessage)
+{
+  if (aMessage.is_taken()) {
+    return OrderOutcome::Accepted;
+  }
+  return aMessage.is_refused() ? OrderOutcome::Refused : OrderOutcome::Unknown;
+}
+
 RankService::RankService(QObject* aContext, ILocalRank& aLocalRank)
   : mContext(aContext)
   , mLocalRank(aLocalRank)
@@ -156,12 +172,40 @@
 {
   grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
   transport::Post(mContext, [this, aRequest, aReply, reactor] {
-    mLocalRank.OrderLocal(
-      FromMessage(*aRequest), [aReply, reactor](OrderOutcome aOutcome) {
-        aReply->set_is_taken(aOutcome == OrderOutcome::Accepted);
-        aReply->set_is_refused(aOutcome == OrderOutcome::Refused);
-        reactor->Finish(grpc::Status::OK);
-      });
+    mLocalRank.OrderLocal(FromMessage(*aRequest),
+                          [aReply, reactor](OrderOutcome aOutcome) {
+                            ToMessage(aOutcome, *aReply);
+                            reactor->Finish(grpc::Status::OK);
+                          });
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+RankService::Relay(grpc::CallbackServerContext* aContext,
+                   const mesh::v1::RelayRequest* aRequest,
+                   mesh::v1::RelayReply* aReply)
+{
+  grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
+  transport::Post(mContext, [this, aRequest, aReply, reactor] {
+    const auto pending = std::make_shared<int>(aRequest->agents_size() + 1);
+    // All replies are there before the first outcome arrives.
+    for (int i = 0; i < *pending; ++i) {
+      aReply->add_replies();
+    }
+    const auto handlerFor = [aReply, reactor, pending](int aIndex) {
+      return [aReply, reactor, pending, aIndex](OrderOutcome aOutcome) {
+        ToMessage(aOutcome, *aReply->mutable_replies(aIndex));
+        if (--*pending == 0) {
+          reactor->Finish(grpc::Status::OK);
+        }
+      };
+    };
+    const RankOrder order = FromMessage(aRequest->order());
+    for (int i = 0; i < aRequest->agents_size(); ++i) {
+      mLocalRank.OrderAgent(aRequest->agents(i), order, handlerFor(i + 1));
+    }
+    mLocalRank.OrderLocal(order, handlerFor(0));
   });
   return reactor;
 }
--- a/src/rankagent/internal/rankservice.h
+++ b/src/rankagent/internal/rankservice.h
@@ -18,6 +18,10 @@
                            IGroupPort::OnSample aOnSample) = 0;
   virtual void OrderLocal(const RankOrder& aOrder,
                           IGroupPort::OnOutcome aOnOutcome) = 0;
+  /** Gives the order to the agent at a peer address. */
+  virtual void OrderAgent(const std::string& aAgent,
+                          const RankOrder& aOrder,
+                          IGroupPort::OnOutcome aOnOutcome) = 0;
 };
 
 void
@@ -29,6 +33,10 @@
 ToMessage(const RankOrder& aOrder, mesh::v1::OrderRequest& aMessage);
 RankOrder
 FromMessage(const mesh::v1::OrderRequest& aMessage);
+void
+ToMessage(OrderOutcome aOutcome, mesh::v1::OrderReply& aMessage);
+OrderOutcome
+FromMessage(const mesh::v1::OrderReply& aMessage);
 
 /** gRPC service through which the group's leader reaches the local rank. */
 class RankService : public mesh::v1::RankControl::CallbackService
@@ -42,6 +50,9 @@
   grpc::ServerUnaryReactor* Order(grpc::CallbackServerContext* aContext,
                                   const mesh::v1::OrderRequest* aRequest,
                                   mesh::v1::OrderReply* aReply) override;
+  grpc::ServerUnaryReactor* Relay(grpc::CallbackServerContext* aContext,
+                                  const mesh::v1::RelayRequest* aRequest,
+                                  mesh::v1::RelayReply* aReply) override;
 
 private:
   QObject* mContext;
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -66,6 +66,15 @@
     });
   }
 
+  void OrderAll(const RankOrder& aOrder, OnRankOutcome aOnOutcome) override
+  {
+    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+      Order(rank, aOrder, [rank, aOnOutcome](OrderOutcome aOutcome) {
+        aOnOutcome(rank, aOutcome);
+      });
+    }
+  }
+
 private:
   void Pass()
   {
