Move the sampling rounds of a group out of GroupLeader

GroupSampler reads the ranks round by round and answers what a round shows: whether the ranks agree, whether a switch is on its way, the map in use.

rankagent_test and mapplanner_test pass as before.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -21,10 +21,6 @@
 /** Intervals while ranks prepare a map; these samples carry no counts. */
 constexpr milliseconds kPrepareRoundInterval{ 50 };
 constexpr milliseconds kPrepareRoundIntervalPerRank{ 2 };
-/** Number of ranks whose counts are read. They are representative of the group,
- * and the counts of 256 ranks would exceed the capacity of the leader's link.
- */
-constexpr size_t kMaxCountedRanks = 12;
 /** Time after which no order of an earlier run of this process can be executed
  * any more: the platform delays orders by up to 12 s. */
 constexpr milliseconds kMaxOrderDelay{ 13000 };
@@ -52,6 +48,7 @@
                          metrics::Metrics& aMetrics)
   : mClock(aClock)
   , mPort(aPort)
+  , mSampler(aPort)
   , mMetrics(aMetrics)
   , mEligibleTime(aClock.Now() + kMaxOrderDelay)
   , mIncarnation(global::RandomIdentifier())
@@ -156,87 +153,34 @@
 void
 GroupLeader::Tick()
 {
-  if (mIsReading || mChange || !IsLeader() || !mEngine ||
+  if (mSampler.IsReading() || mChange || !IsLeader() || !mEngine ||
       mEngine->mExpertLayers == 0) {
     return;
   }
-  BeginRound();
-}
-
-void
-GroupLeader::BeginRound()
-{
-  ++mRound;
-  mIsReading = true;
-  mPendingSamples = mLocalRank->mSize;
-  mSamples.assign(mLocalRank->mSize, std::nullopt);
-  const uint64_t round = mRound;
-  const std::vector<uint32_t> near = mPort.RanksByProximity();
-  const auto end = near.begin() + static_cast<std::ptrdiff_t>(
-                                    std::min(near.size(), kMaxCountedRanks));
-  for (uint32_t rank = 0; rank < mLocalRank->mSize; ++rank) {
-    const bool isCounted =
-      mPreparingVersion == 0 && std::find(near.begin(), end, rank) != end;
-    mPort.Sample(rank,
-                 isCounted ? SampleDepth::Counts : SampleDepth::Placement,
-                 [this, round, rank](auto aSample) {
-                   HandleSample(round, rank, std::move(aSample));
-                 });
-  }
-}
-
-void
-GroupLeader::HandleSample(uint64_t aRound,
-                          size_t aRank,
-                          std::optional<RankSample> aSample)
-{
-  if (aRound != mRound || !mIsReading) {
-    return;
-  }
-  mSamples[aRank] = std::move(aSample);
-  if (--mPendingSamples == 0) {
-    mIsReading = false;
-    FinishRound();
-  }
+  mSampler.BeginRound(
+    mLocalRank->mSize, mPreparingVersion == 0, [this] { FinishRound(); });
 }
 
 void
 GroupLeader::FinishRound()
 {
-  if (mPreparingVersion != 0 && HasGroupChanged()) {
+  if (mPreparingVersion != 0 &&
+      mSampler.HasGroupChanged(mLocalRank->mGroup, mPreparingEpoch)) {
     AbandonMap("the group has changed");
   }
-  UpdateUnreadableRanks();
-  if (!IsConsistent()) {
+  if (!mSampler.IsConsistent()) {
     if (mPreparingVersion != 0 && mClock.Now() >= mPrepareDeadline) {
       AbandonMap("ranks cannot be read");
     }
     return;
   }
-  for (const auto& sample : mSamples) {
-    const RankState& state = sample->mState;
-    mHighestVersion = std::max({ mHighestVersion,
-                                 state.mMapVersion,
-                                 state.mPreparedVersion,
-                                 state.mArmedVersion });
-  }
-  mDemand->AddSamples(mSamples);
+  mHighestVersion = std::max(mHighestVersion, mSampler.HighestVersion());
+  mDemand->AddSamples(mSampler.All());
   if (HandleHold()) {
     return;
   }
-  const bool isArmed =
-    std::any_of(mSamples.begin(), mSamples.end(), [](const auto& aSample) {
-      return aSample->mState.mArmedVersion != 0;
-    });
-  const uint64_t map = mSamples[0]->mState.mMapVersion;
-  const bool isOneMap =
-    std::all_of(mSamples.begin(), mSamples.end(), [&](const auto& aSample) {
-      return aSample->mState.mMapVersion == map;
-    });
-  // An armed map is about to replace the current one, and samples from before
-  // and after a switch show two maps. Skip this round: a plan has to start from
-  // the map that all ranks use.
-  if (isArmed || !isOneMap) {
+  // A plan has to start from the map that all ranks use.
+  if (mSampler.IsSwitching()) {
     return;
   }
   if (!mMayLead || CountPrecedingLeaders() > 0) {
@@ -250,53 +194,6 @@
   Plan();
 }
 
-void
-GroupLeader::UpdateUnreadableRanks()
-{
-  size_t unread = 0;
-  size_t first = 0;
-  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
-    if (!mSamples[rank]) {
-      first = unread == 0 ? rank : first;
-      ++unread;
-    }
-  }
-  if ((unread == 0) == (mUnreadableRanks == 0)) {
-    return;
-  }
-  mUnreadableRanks = unread;
-  if (unread > 0) {
-    LOGW("Ranks cannot be read. group=" << mLocalRank->mGroup << " unread="
-                                        << unread << " of=" << mSamples.size()
-                                        << " first=" << first);
-  } else {
-    LOGI("All ranks can be read. group=" << mLocalRank->mGroup);
-  }
-}
-
-bool
-GroupLeader::IsConsistent() const
-{
-  const auto& first = mSamples[0];
-  return std::all_of(
-    mSamples.begin(), mSamples.end(), [&](const auto& aSample) {
-      return aSample && first && aSample->mState.mIsOpen &&
-             aSample->mState.mGroup == first->mState.mGroup &&
-             aSample->mState.mEpoch == first->mState.mEpoch;
-    });
-}
-
-bool
-GroupLeader::HasGroupChanged() const
-{
-  return std::any_of(
-    mSamples.begin(), mSamples.end(), [this](const auto& aSample) {
-      return aSample && (!aSample->mState.mIsOpen ||
-                         aSample->mState.mGroup != mLocalRank->mGroup ||
-                         aSample->mState.mEpoch != mPreparingEpoch);
-    });
-}
-
 void
 GroupLeader::AbandonMap(const std::string& aReason)
 {
@@ -330,9 +227,9 @@
 {
   // A rank holds one pass at a time, so a hold of the local rank is resolved
   // first.
-  uint64_t held = mSamples[mLocalRank->mRank]->mState.mHeldStep;
+  uint64_t held = mSampler.State(mLocalRank->mRank).mHeldStep;
   const bool hasOwn = held != 0;
-  for (const auto& sample : mSamples) {
+  for (const auto& sample : mSampler.All()) {
     const uint64_t other = sample->mState.mHeldStep;
     if (!hasOwn && other != 0 && (held == 0 || other < held)) {
       held = other;
@@ -354,7 +251,7 @@
     mHeldSince = now;
     mObservedHeldStep = held;
   }
-  const uint64_t own = mSamples[mLocalRank->mRank]->mState.mHeldStep;
+  const uint64_t own = mSampler.State(mLocalRank->mRank).mHeldStep;
   // A delayed order of an earlier run of this process may still release its
   // hold, so the hold protects nothing; another leader clears it.
   const bool isEarlierRun = own != 0 && own != mChangeStep && !mMayLead;
@@ -373,22 +270,6 @@
   return true;
 }
 
-ExpertMap
-GroupLeader::CurrentMap() const
-{
-  const size_t layers = static_cast<size_t>(mEngine->mExpertLayers);
-  ExpertMap map(layers);
-  for (size_t layer = 0; layer < layers; ++layer) {
-    for (const auto& sample : mSamples) {
-      if (sample->mExperts.size() != layers) {
-        return {};
-      }
-      map[layer].push_back(sample->mExperts[layer]);
-    }
-  }
-  return map;
-}
-
 uint64_t
 GroupLeader::NextVersion()
 {
@@ -400,7 +281,7 @@
 void
 GroupLeader::Plan()
 {
-  const ExpertMap current = CurrentMap();
+  const ExpertMap current = mSampler.CurrentMap(ExpertLayers());
   if (mClock.Now() < mNextPlanTime || mDemand->IsShifting() ||
       !mDemand->HasDemand() || current.empty()) {
     return;
@@ -413,7 +294,7 @@
   }
   mIsSettled = false;
   mPreparingVersion = NextVersion();
-  mPreparingEpoch = mSamples[0]->mState.mEpoch;
+  mPreparingEpoch = mSampler.State(0).mEpoch;
   mPreparingMap = std::move(plan.mMap);
   mPrepareDeadline = mClock.Now() + kPrepareTimeout;
   mPrepareRetryTime = mClock.Now() + kPrepareRetryInterval;
@@ -430,11 +311,17 @@
   UpdateInterval();
 }
 
+size_t
+GroupLeader::ExpertLayers() const
+{
+  return static_cast<size_t>(mEngine->mExpertLayers);
+}
+
 std::vector<double>
 GroupLeader::RankSlowdowns() const
 {
   std::vector<double> slowdowns;
-  for (const auto& sample : mSamples) {
+  for (const auto& sample : mSampler.All()) {
     slowdowns.push_back(std::max(1.0, sample->mState.mPace));
   }
   return slowdowns;
@@ -490,13 +377,13 @@
 {
   const auto now = mClock.Now();
   bool isReady = true;
-  for (size_t rank = 0; rank < mSamples.size(); ++rank) {
-    const RankState& state = mSamples[rank]->mState;
+  for (size_t rank = 0; rank < mSampler.All().size(); ++rank) {
+    const RankState& state = mSampler.State(rank);
     isReady = isReady && state.mPreparedVersion == mPreparingVersion;
   }
   if (isReady) {
     const uint64_t step = NextStep();
-    if (step <= mSamples[0]->mState.mStep + kMaxPassesAhead) {
+    if (step <= mSampler.State(0).mStep + kMaxPassesAhead) {
       BeginChange({ .mVersion = mPreparingVersion, .mStep = step });
     }
     return;
@@ -507,8 +394,8 @@
     return;
   }
   const bool isRetryDue = now >= mPrepareRetryTime;
-  for (uint32_t rank = 0; rank < mSamples.size(); ++rank) {
-    const RankState& state = mSamples[rank]->mState;
+  for (uint32_t rank = 0; rank < mSampler.All().size(); ++rank) {
+    const RankState& state = mSampler.State(rank);
     // A rank refuses a second order for a version that it has, so an unanswered
     // order can be repeated at once.
     const bool isUnanswered = mUnansweredRanks.erase(rank) > 0;
@@ -526,7 +413,7 @@
 GroupLeader::BeginChange(ChangePlan aPlan)
 {
   std::vector<RankState> states;
-  for (const auto& sample : mSamples) {
+  for (const auto& sample : mSampler.All()) {
     states.push_back(sample->mState);
   }
   aPlan.mLeaderRank = mLocalRank->mRank;
@@ -544,7 +431,7 @@
 GroupLeader::NextStep() const
 {
   uint64_t step = mHighestUsedStep;
-  for (const auto& sample : mSamples) {
+  for (const auto& sample : mSampler.All()) {
     step = std::max(step, sample->mState.mStep + kMinPassesAhead - 1);
   }
   return StepAbove(step, mLocalRank->mRank);
@@ -582,7 +469,7 @@
   }
   RankOrder order = aCommand.mOrder;
   if (order.mOperation == RankOperation::Prepare) {
-    order.mMap = CurrentMap();
+    order.mMap = mSampler.CurrentMap(ExpertLayers());
   }
   mPort.Order(static_cast<uint32_t>(rank),
               order,
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -3,6 +3,7 @@
 #include "framework/global/iclock.h"
 #include "framework/metrics/metrics.h"
 #include "published/publishedtypes.h"
+#include "rankagent/internal/groupsampler.h"
 #include "rankagent/internal/mapplanner.h"
 
 #include <QTimer>
@@ -53,19 +54,7 @@
    */
   bool IsStandbyNeeded() const;
   void Tick();
-  void BeginRound();
-  void HandleSample(uint64_t aRound,
-                    size_t aRank,
-                    std::optional<RankSample> aSample);
   void FinishRound();
-  /** Logs when ranks become unreadable and when all are readable again. */
-  void UpdateUnreadableRanks();
-  /** Whether all ranks were read, are open, and belong to the same group and
-   * epoch. */
-  bool IsConsistent() const;
-  /** Whether a rank that was read is not open, or no longer belongs to the
-   * group and epoch for which the map is being prepared. */
-  bool HasGroupChanged() const;
   void AbandonMap(const std::string& aReason);
   /** Interval between sampling rounds, depending on the size of the group. */
   milliseconds RoundInterval() const;
@@ -73,7 +62,7 @@
   bool HandleHold();
   void ContinuePreparing();
   void Plan();
-  ExpertMap CurrentMap() const;
+  size_t ExpertLayers() const;
   std::vector<double> RankSlowdowns() const;
   /** Logs, once until the next change, that no better map is found. */
   void LogSettled(const MapPlan& aPlan);
@@ -94,6 +83,7 @@
 
   const global::IClock& mClock;
   IGroupPort& mPort;
+  GroupSampler mSampler;
   metrics::Metrics& mMetrics;
   std::optional<RankState> mLocalRank;
   global::TimePoint mEligibleTime;
@@ -105,13 +95,6 @@
   std::optional<published::EngineProfile> mEngine;
   QTimer mTimer;
 
-  uint64_t mRound = 0;
-  size_t mPendingSamples = 0;
-  bool mIsReading = false;
-  std::vector<std::optional<RankSample>> mSamples;
-  /** Number of unreadable ranks when last logged. */
-  size_t mUnreadableRanks = 0;
-
   std::optional<DemandTracker> mDemand;
 
   uint64_t mPreparingVersion = 0;
