Read the demand for experts from zones that have requests

Cause: the leader reads the counts of the ranks in its own availability zone, as they cost no traffic between zones. When that zone is out of service its ranks get no requests and choose no experts, so every window was too small to count.

Now ranks of zones that have requests come first, and of these the own zone. A rank that was not counted in a round starts anew when it is counted again; its counts would otherwise bring in all that it chose meanwhile.

--- a/src/rankagent/internal/demandtracker.cpp
+++ b/src/rankagent/internal/demandtracker.cpp
@@ -52,10 +52,18 @@
   const std::vector<std::optional<RankSample>>& aSamples)
 {
   Windows window(mLayers, rebalancing::Loads(mExperts, 0));
+  const auto hasCounts = [this](const std::optional<RankSample>& aSample) {
+    return aSample->mCounts.size() == mLayers * mExperts;
+  };
+  if (std::none_of(aSamples.begin(), aSamples.end(), hasCounts)) {
+    return window;
+  }
   for (size_t rank = 0; rank < aSamples.size(); ++rank) {
     const std::vector<uint64_t>& counts = aSamples[rank]->mCounts;
     std::vector<uint64_t>& last = mLastCounts[rank];
-    if (counts.size() != mLayers * mExperts) {
+    if (!hasCounts(aSamples[rank])) {
+      // If the rank is counted again, its counts cover more than a window.
+      last.clear();
       continue;
     }
     for (size_t i = 0; i < counts.size() && last.size() == counts.size(); ++i) {
--- a/src/rankagent/internal/groupport.h
+++ b/src/rankagent/internal/groupport.h
@@ -41,9 +41,9 @@
   virtual std::vector<uint32_t> LiveRanks() const = 0;
   /** Other ranks with a live agent that is eligible to lead. */
   virtual std::vector<uint32_t> EligibleRanks() const = 0;
-  /** The local rank, then the other live ranks of its availability zone, then
-   * the remaining live ranks. */
-  virtual std::vector<uint32_t> RanksByProximity() const = 0;
+  /** The live ranks, including the local one, in the order in which their
+   * counts should be read. */
+  virtual std::vector<uint32_t> RanksToCount() const = 0;
   virtual void Sample(uint32_t aRank,
                       SampleDepth aDepth,
                       OnSample aOnSample) = 0;
--- a/src/rankagent/internal/groupsampler.cpp
+++ b/src/rankagent/internal/groupsampler.cpp
@@ -31,12 +31,12 @@
   mPending = aRanks;
   mOnEnd = std::move(aOnEnd);
   mSamples.assign(aRanks, std::nullopt);
-  const std::vector<uint32_t> near = mPort.RanksByProximity();
-  const auto end = near.begin() + static_cast<std::ptrdiff_t>(
-                                    std::min(near.size(), kMaxCountedRanks));
+  const std::vector<uint32_t> ranks = mPort.RanksToCount();
+  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(
+                                     std::min(ranks.size(), kMaxCountedRanks));
   for (uint32_t rank = 0; rank < aRanks; ++rank) {
     const bool isCounted =
-      aWantsCounts && std::find(near.begin(), end, rank) != end;
+      aWantsCounts && std::find(ranks.begin(), end, rank) != end;
     mPort.Sample(rank,
                  isCounted ? SampleDepth::Counts : SampleDepth::Placement,
                  [this, round = mRound, rank](auto aSample) {
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -173,7 +173,8 @@
     if (member.mLoad && member.mLoad->mGroup == mRankState->mGroup) {
       mPeers[member.mLoad->mRank] = { member.mPeerAddress,
                                       member.mAvailabilityZone,
-                                      member.mLoad->mMayLead };
+                                      member.mLoad->mMayLead,
+                                      member.mLoad->mRequests };
       mPeerEngines.SetEngineAddress(member.mLoad->mRank,
                                     member.mLoad->mEndpointAddress);
     }
@@ -203,20 +204,17 @@
 }
 
 std::vector<uint32_t>
-RankNode::RanksByProximity() const
+RankNode::RanksToCount() const
 {
-  std::vector<uint32_t> ranks;
+  const std::string& ownZone = mMesh.Members().Self().mAvailabilityZone;
+  std::vector<RankActivity> ranks;
   if (mRankState) {
-    ranks.push_back(mRankState->mRank);
+    ranks.push_back({ mRankState->mRank, ownZone, mRankState->mRequests });
   }
-  std::vector<uint32_t> far;
-  const std::string& ownZone = mMesh.Members().Self().mAvailabilityZone;
   for (const auto& [rank, peer] : mPeers) {
-    const bool isNear = peer.mAvailabilityZone == ownZone;
-    (isNear ? ranks : far).push_back(rank);
+    ranks.push_back({ rank, peer.mAvailabilityZone, peer.mRequests });
   }
-  ranks.insert(ranks.end(), far.begin(), far.end());
-  return ranks;
+  return OrderForCounting(ranks, ownZone);
 }
 
 std::string
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -4,6 +4,7 @@
 #include "framework/settings/jsondocument.h"
 #include "mesh/meshnode.h"
 #include "published/publishedstate.h"
+#include "rankagent/internal/countedranks.h"
 #include "rankagent/internal/engineclient.h"
 #include "rankagent/internal/groupleader.h"
 #include "rankagent/internal/peerengines.h"
@@ -42,7 +43,7 @@
 
   std::vector<uint32_t> LiveRanks() const override;
   std::vector<uint32_t> EligibleRanks() const override;
-  std::vector<uint32_t> RanksByProximity() const override;
+  std::vector<uint32_t> RanksToCount() const override;
   void Sample(uint32_t aRank, SampleDepth aDepth, OnSample aOnSample) override;
   void Order(uint32_t aRank,
              const RankOrder& aOrder,
@@ -62,6 +63,8 @@
     std::string mAddress;
     std::string mAvailabilityZone;
     bool mMayLead = false;
+    /** Running and queued requests at the rank. */
+    int mRequests = 0;
   };
 
   /** Called with whether the agent has answered, and with the outcome. */
--- a/src/rankagent/tests/demandtrackertest.cpp
+++ b/src/rankagent/tests/demandtrackertest.cpp
@@ -70,3 +70,18 @@
   CHECK_FALSE(mTracker.IsShifting());
   DOUBLES_EQUAL(0, mTracker.Demand(0)[3], 0.001);
 }
+
+TEST(DemandTracker, LeavesOutWhatARankChoseWhileItWasNotCounted)
+{
+  const auto sample = [](uint64_t aFirst, uint64_t aSecond) {
+    return RankSample{ .mState = { .mGroup = "g", .mEpoch = 1 },
+                       .mCounts = { aFirst, aSecond, 0, 0 } };
+  };
+  const RankSample notCounted{ .mState = { .mGroup = "g", .mEpoch = 1 } };
+  mTracker.AddSamples({ sample(0, 0), sample(0, 0) });
+  mTracker.AddSamples({ sample(1000, 0), notCounted });
+
+  mTracker.AddSamples({ sample(2000, 0), sample(0, 90000) });
+
+  DOUBLES_EQUAL(0, mTracker.Demand(0)[1], 0.001);
+}
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -42,10 +42,7 @@
 
   std::vector<uint32_t> LiveRanks() const override { return { 0, 2 }; }
   std::vector<uint32_t> EligibleRanks() const override { return { 0, 2 }; }
-  std::vector<uint32_t> RanksByProximity() const override
-  {
-    return { 1, 0, 2 };
-  }
+  std::vector<uint32_t> RanksToCount() const override { return { 1, 0, 2 }; }
 
   void Sample(uint32_t aRank, SampleDepth, OnSample aOnSample) override
   {
