--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -278,8 +278,8 @@
   CallOrder(address,
             aOrder,
             aOrder.mMap.empty() ? kOrderTimeout : kMapOrderTimeout,
-            [this, aRank, aOnOutcome](bool isAnswered, OrderOutcome aOutcome) {
-              if (!isAnswered) {
+            [this, aRank, aOnOutcome](bool aIsAnswered, OrderOutcome aOutcome) {
+              if (!aIsAnswered) {
                 mPeerEngines.BypassAgent(aRank);
               }
               aOnOutcome(aOutcome);
