--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -345,8 +345,10 @@
 {
   UpdateStoreAccess();
   if (mKnowsAllGateways != mMesh.Members().KnowsAllGateways()) {
-    LOGI("All gateways are known. gateways=" << mMesh.Members().GatewayCount());
     ApplyLimits();
+    LOGI((mKnowsAllGateways ? "All gateways are known."
+                            : "Not all gateways may be known.")
+         << " gateways=" << mMesh.Members().GatewayCount());
   }
   if (mIsReadingStore && mState.Revision() > mAnnouncedRevision) {
     mAnnouncedRevision = mState.Revision();
