Assume fewer gateways while not all are known

While it may not know all, a gateway now assumes three times the gateways that it knows, at least 16: 24 where 8 are known, 150 where 50 are.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -30,8 +30,10 @@
 constexpr milliseconds kStopReserve{ 300 };
 /** Least number of gateways assumed to share a limit. */
 constexpr int kMinGatewayCount = 8;
-/** Number of gateways assumed while not all of them are known. */
-constexpr int kUnknownGatewayCount = 64;
+/** Least number of gateways assumed while not all of them are known. */
+constexpr int kMinUnknownGatewayCount = 16;
+/** Multiple of the known gateways assumed while not all of them are known. */
+constexpr int kUnknownGatewayFactor = 3;
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -123,10 +125,11 @@
 {
   const mesh::MemberTable& members = mMesh.Members();
   mKnowsAllGateways = members.KnowsAllGateways();
-  const int least = mKnowsAllGateways ? kMinGatewayCount : kUnknownGatewayCount;
-  return { members.Self().mVm,
-           members.KnownGateways(),
-           std::max(least, members.GatewayCount()) };
+  const int known = members.GatewayCount();
+  const int count = mKnowsAllGateways ? std::max(kMinGatewayCount, known)
+                                      : std::max(kMinUnknownGatewayCount,
+                                                 kUnknownGatewayFactor * known);
+  return { members.Self().mVm, members.KnownGateways(), count };
 }
 
 void
