Check the cold bound of all gateways over a minute again

It is back, for the sum of all gateways instead of one gateway's figure times 390: at least 1 and at most 62 * 60 requests.

--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -44,7 +44,11 @@
   /** Lets each of the gateways send what it may to one endpoint within a
    * second, and returns the sum. Each gateway assumes a number of gateways, and
    * knows the names of some: itself and those after it. */
-  static int CountSendsAtOnce(int aGateways, int aAssumed, int aKnown = 1000)
+  static int CountSendsAtOnce(int aGateways,
+                              int aAssumed,
+                              int aKnown = 1000,
+                              std::chrono::seconds aTime =
+                                std::chrono::seconds(1))
   {
     const auto snapshot = SnapshotOf({ EndpointNamed("cold") });
     int sent = 0;
@@ -55,19 +59,21 @@
                                std::to_string((gateway + i) % aGateways));
       }
       fleet.mSelf = fleet.mNames.front();
-      sent += CountSends(*snapshot, { fleet, 1.5, 5 });
+      sent += CountSends(*snapshot, { fleet, 1.5, 5 }, aTime);
     }
     return sent;
   }
 
   static int CountSends(const published::Snapshot& aSnapshot,
-                        const ColdRateLimit& aLimit)
+                        const ColdRateLimit& aLimit,
+                        std::chrono::seconds aTime)
   {
     global::ManualClock clock;
     EndpointBalancer balancer(clock, 1);
     balancer.SetColdRateLimit(aLimit);
     int sent = 0;
-    for (int i = 0; i < 100; ++i) {
+    const auto end = clock.Now() + aTime;
+    while (clock.Now() < end) {
       if (balancer.Choose(aSnapshot, { "engines", "a", {} }).mStatus ==
           PlacementStatus::Chosen) {
         balancer.RecordSent("cold");
@@ -111,6 +117,17 @@
   }
 }
 
+TEST(EndpointBalancer, AllGatewaysTogetherKeepTheColdBoundOverAMinute)
+{
+  constexpr int kGateways = 390;
+  const std::chrono::seconds minute(60);
+
+  const int sent = CountSendsAtOnce(kGateways, kGateways, kGateways, minute);
+
+  CHECK(sent >= 1);
+  CHECK(sent <= 62 * 60);
+}
+
 TEST(EndpointBalancer, GatewaysThatKnowOnlyThemselvesKeepTheColdBound)
 {
   for (const int gateways : { 8, 38, 51 }) {
