Log what a map change is told of each rank, and by whom

Observability for the report of two maps in one pass: the logs told each order and its answer, but not which rank a state was read from, whether it came from the rank's agent or, past an agent that does not answer, from the engine itself, nor what the change did with it. No decision changes.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -460,6 +460,7 @@
                    if (!mChange || id != mChangeId) {
                      return;
                    }
+                   LogRead(rank, aSample);
                    mChange->HandleState(rank,
                                         aSample ? std::optional(aSample->mState)
                                                 : std::nullopt);
@@ -482,6 +483,26 @@
               });
 }
 
+void
+GroupLeader::LogRead(size_t aRank, const std::optional<RankSample>& aSample)
+{
+  if (!aSample) {
+    LOGI("A rank cannot be read during a change. rank="
+         << aRank << " change=" << mChangeStep
+         << " phase=" << mChange->PhaseName());
+    return;
+  }
+  const RankState& state = aSample->mState;
+  LOGI("A rank is read during a change. rank="
+       << aRank << " change=" << mChangeStep
+       << " phase=" << mChange->PhaseName() << " group=" << state.mGroup
+       << " epoch=" << state.mEpoch << " reportedRank=" << state.mRank
+       << " step=" << state.mStep << " map=" << state.mMapVersion
+       << " prepared=" << state.mPreparedVersion
+       << " armed=" << state.mArmedVersion << " armedStep=" << state.mArmedStep
+       << " held=" << state.mHeldStep << " mayLag=" << state.mMayLag);
+}
+
 void
 GroupLeader::EndChange()
 {
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -79,6 +79,8 @@
   uint64_t NextStep() const;
   void SendDueCommands();
   void SendCommand(const RankCommand& aCommand);
+  /** Logs what a change is told of a rank, and by whom. */
+  void LogRead(size_t aRank, const std::optional<RankSample>& aSample);
   void EndChange();
 
   const global::IClock& mClock;
--- a/src/rankagent/internal/peerengines.cpp
+++ b/src/rankagent/internal/peerengines.cpp
@@ -77,7 +77,10 @@
     return;
   }
   engine->ReadState(
-    [engine, aDepth, aOnSample](const std::optional<RankState>& aState) {
+    [engine, aDepth, aOnSample](std::optional<RankState> aState) {
+      if (aState) {
+        aState->mMayLag = true;
+      }
       if (!aState || aDepth == SampleDepth::State) {
         aOnSample(aState ? std::optional(RankSample{ .mState = *aState })
                          : std::nullopt);
--- a/src/rankagent/ranktypes.h
+++ b/src/rankagent/ranktypes.h
@@ -30,6 +30,9 @@
   uint64_t mHeldStep = 0;
   /** Running and queued requests. */
   int mRequests = 0;
+  /** The state was read from another machine and may be older than orders that
+   * the rank has executed. */
+  bool mMayLag = false;
 };
 
 /** Number of times that each expert was selected on a rank since its start. */
