Do not take a lagging report for a rank's present state

Cause: when a rank's agent does not answer, the leader reads the engine itself, and an engine's report to another machine is some hundred milliseconds old. The change took it for the present. An agent that dies just after it has passed on the order to arm leaves a rank that is armed, while its report still shows the time before the map was prepared. The change then judged that the rank could not become armed any more, because another version than the new one was prepared there, cleared the other ranks, which takes 10 to 30 ms, and let the pass begin: only that rank switched. The same held for a rank seen armed by another leader.

Class of fault: an observation without a time, used as proof that something has not happened.

Evidence: the exploration of all interleavings with reads that tell what a rank was like before the map was prepared. Before this change:

mapchangetest.cpp: error: Failure in TEST(MapChange, NoPassUsesTwoMapsWhenARankIsReadAsItWasBefore) CHECK(explorer.Run()) failed

Why it works: a rank counts as cleared only on evidence that stays true however old it is: it has had a version above the map's, or it has prepared the version that this change itself has ordered. Versions only increase at a rank, so the map can never be armed there again. That a rank is armed for the pass of another leader counts only if the state cannot lag.

The keys of explored states now separate their numbers.

--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -21,6 +21,14 @@
  * can collide. */
 constexpr uint64_t kPassSlots = 4;
 
+/** Highest version that the rank is seen to have had. */
+uint64_t
+HighestVersion(const RankState& aState)
+{
+  return std::max(
+    { aState.mMapVersion, aState.mPreparedVersion, aState.mArmedVersion });
+}
+
 }
 
 uint64_t
@@ -240,17 +248,26 @@
 }
 
 bool
-MapChange::IsCleared(const RankState& aState)
+MapChange::IsOwnSwitch(const RankState& aState) const
+{
+  return mPlan.mVersion != 0 ? aState.mArmedVersion == mPlan.mVersion
+                             : aState.mArmedStep == mPlan.mStep;
+}
+
+bool
+MapChange::IsCleared(const RankState& aState) const
 {
+  // Versions only increase, so a superseded version can no longer be armed. A
+  // state that may lag proves nothing else: the rank can have prepared and
+  // armed the map since.
+  if (mPlan.mVersion != 0 && HighestVersion(aState) > mPlan.mVersion) {
+    return true;
+  }
   if (aState.mArmedVersion != 0) {
     // Armed by another leader, for a pass that it holds.
-    return mPlan.mVersion != 0 ? aState.mArmedVersion != mPlan.mVersion
-                               : aState.mArmedStep != mPlan.mStep;
+    return !IsOwnSwitch(aState) && !aState.mMayLag;
   }
-  // Versions only increase, so a superseded version can no longer be armed.
-  return mPlan.mVersion != 0
-           ? aState.mPreparedVersion != mPlan.mVersion
-           : aState.mPreparedVersion == mPlan.mSupersedingVersion;
+  return aState.mPreparedVersion == mPlan.mSupersedingVersion;
 }
 
 void
@@ -264,7 +281,11 @@
     return;
   }
   if (aState.mArmedVersion != 0) {
-    QueueOrder(aRank, RankOperation::Disarm, aState.mArmedVersion);
+    if (IsOwnSwitch(aState)) {
+      QueueOrder(aRank, RankOperation::Disarm, aState.mArmedVersion);
+    } else {
+      QueueRead(aRank);
+    }
     return;
   }
   if (aState.mPreparedVersion > mPlan.mSupersedingVersion) {
--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -129,7 +129,11 @@
   void QueueRead(size_t aRank);
   void MarkDone(size_t aRank);
   void AdvancePhase();
-  bool IsCleared(const RankState& aState);
+  /** Whether the rank is armed for the switch that this change clears. */
+  bool IsOwnSwitch(const RankState& aState) const;
+  /** Whether the rank neither takes part in the switch nor can still be armed
+   * for it. */
+  bool IsCleared(const RankState& aState) const;
   void HandleHoldState(const RankState& aState);
   void HandleArmState(size_t aRank, const RankState& aState);
   void HandleClearState(size_t aRank, const RankState& aState);
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -25,6 +25,9 @@
   int mMaxLostAnswers = 1;
   /** Number of leaders in a run that may crash. */
   int mMaxCrashes = 1;
+  /** Number of reads in a run that may tell what a rank was like before the map
+   * was prepared. */
+  int mMaxLaggingReads = 0;
   Fault mFault = Fault::None;
 };
 
@@ -52,6 +55,7 @@
   int mLateOrdersLeft = 0;
   int mLostAnswersLeft = 0;
   int mCrashesLeft = 0;
+  int mLaggingReadsLeft = 0;
 };
 
 /** Returns the part of a state's key that describes a command. */
@@ -59,8 +63,8 @@
 TextOf(const RankCommand& aCommand)
 {
   std::ostringstream text;
-  text << aCommand.mRank << aCommand.mIsRead
-       << static_cast<int>(aCommand.mOrder.mOperation)
+  text << aCommand.mRank << ',' << aCommand.mIsRead << ','
+       << static_cast<int>(aCommand.mOrder.mOperation) << ','
        << aCommand.mOrder.mVersion << '.' << aCommand.mOrder.mStep;
   return text.str();
 }
@@ -83,16 +87,17 @@
 TextOf(const SystemState& aState)
 {
   std::ostringstream text;
-  text << aState.mStep << aState.mLateOrdersLeft << aState.mLostAnswersLeft
-       << aState.mCrashesLeft;
+  text << aState.mStep << ',' << aState.mLateOrdersLeft << ','
+       << aState.mLostAnswersLeft << ',' << aState.mCrashesLeft << ','
+       << aState.mLaggingReadsLeft;
   for (const RankState& rank : aState.mRanks) {
     text << TextOf(rank);
   }
   for (const Leader& leader : aState.mLeaders) {
-    text << '#' << leader.mHasBegun << leader.mHasCrashed
-         << leader.mHighestUsedStep << leader.mReleasedStep;
+    text << '#' << leader.mHasBegun << leader.mHasCrashed << ','
+         << leader.mHighestUsedStep << ',' << leader.mReleasedStep;
     for (const RankState& read : leader.mReads) {
-      text << TextOf(read) << read.mStep;
+      text << TextOf(read) << ',' << read.mStep;
     }
     text << (leader.mChange ? leader.mChange->Fingerprint() : "-");
     for (const RankCommand& command : leader.mOutstanding) {
@@ -128,6 +133,7 @@
     first.mLateOrdersLeft = mLimits.mMaxLateOrders;
     first.mLostAnswersLeft = mLimits.mMaxLostAnswers;
     first.mCrashesLeft = mLimits.mMaxCrashes;
+    first.mLaggingReadsLeft = mLimits.mMaxLaggingReads;
     // The next pass is the first one that the first leader may use.
     first.mStep = StepAbove(0, 0) - 1;
     // The first leader's map is prepared on all ranks.
@@ -294,10 +300,12 @@
     const RankCommand command = aState.mLeaders[aLeader].mOutstanding[aIndex];
     if (command.mIsRead) {
       SystemState state = WithoutCommand(aState, aLeader, aIndex);
-      state.mLeaders[aLeader].mChange->HandleState(command.mRank,
-                                                   state.mRanks[command.mRank]);
-      CollectCommands(state, aLeader);
-      Push(std::move(state));
+      FinishRead(state, aLeader, command.mRank, state.mRanks[command.mRank]);
+      // A leader's own rank is read on its own machine.
+      if (aState.mLaggingReadsLeft > 0 && command.mRank != aLeader) {
+        --state.mLaggingReadsLeft;
+        FinishRead(state, aLeader, command.mRank, LaggingState());
+      }
       return;
     }
     SystemState answered = WithoutCommand(aState, aLeader, aIndex);
@@ -326,6 +334,22 @@
     }
   }
 
+  /** State of a rank before the map was prepared. */
+  static RankState LaggingState()
+  {
+    return { .mStep = StepAbove(0, 0) - 1, .mMayLag = true };
+  }
+
+  void FinishRead(SystemState aState,
+                  size_t aLeader,
+                  size_t aRank,
+                  const RankState& aRead)
+  {
+    aState.mLeaders[aLeader].mChange->HandleState(aRank, aRead);
+    CollectCommands(aState, aLeader);
+    Push(std::move(aState));
+  }
+
   static SystemState WithoutCommand(const SystemState& aState,
                                     size_t aLeader,
                                     size_t aIndex)
@@ -394,6 +418,17 @@
   CHECK(explorer.States() > 100000);
 }
 
+TEST(MapChange, NoPassUsesTwoMapsWhenARankIsReadAsItWasBefore)
+{
+  Explorer explorer({ .mMaxLateOrders = 0,
+                      .mMaxLostAnswers = 1,
+                      .mMaxCrashes = 0,
+                      .mMaxLaggingReads = 2 });
+  CHECK(explorer.Run());
+  CHECK(explorer.SwitchedPasses() > 0);
+  CHECK(explorer.States() > 10000);
+}
+
 TEST(MapChange, DetectsAnIgnoredHold)
 {
   Explorer explorer({ .mMaxLateOrders = 0,
