Check that a read of a rank was answered by that rank

What callers saw: the same report, two maps in one pass.

Cause: a leader finds the agent or engine of a rank by what agents said of themselves up to half a second ago. After a group has formed anew the answer can come from another rank of it, or of another group. A sample was checked for its group's name and epoch only, so one engine could be read as two ranks and another never, and a change be armed without it.

Why it works: no round counts unless every rank answered for itself and the group has the size that was read; a change reads again, and fails if the group's name or epoch differ.

--- a/src/rankagent/internal/groupsampler.cpp
+++ b/src/rankagent/internal/groupsampler.cpp
@@ -53,6 +53,12 @@
   if (aRound != mRound || !mIsReading) {
     return;
   }
+  if (aSample && aSample->mState.mRank != aRank) {
+    LOGW("A read reached another rank. rank="
+         << aRank << " reportedRank=" << aSample->mState.mRank << " group="
+         << aSample->mState.mGroup << " epoch=" << aSample->mState.mEpoch);
+    aSample.reset();
+  }
   mSamples[aRank] = std::move(aSample);
   if (--mPending > 0) {
     return;
@@ -89,6 +95,7 @@
   return std::all_of(
     mSamples.begin(), mSamples.end(), [&](const auto& aSample) {
       return aSample && first && aSample->mState.mIsOpen &&
+             aSample->mState.mSize == mSamples.size() &&
              aSample->mState.mGroup == first->mState.mGroup &&
              aSample->mState.mEpoch == first->mState.mEpoch;
     });
--- a/src/rankagent/internal/groupsampler.h
+++ b/src/rankagent/internal/groupsampler.h
@@ -25,8 +25,8 @@
   /** State of a rank; only if all ranks were read. */
   const RankState& State(size_t aRank) const { return mSamples[aRank]->mState; }
 
-  /** Whether all ranks were read, are open, and belong to the same group and
-   * epoch. */
+  /** Whether all ranks were read, are open, and belong to the same group, epoch
+   * and size. */
   bool IsConsistent() const;
   /** Whether a rank that was read is not open, or belongs to another group or
    * epoch than given. */
--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -188,12 +188,15 @@
     return;
   }
   // In a new epoch the group has re-formed and holds nothing.
-  const bool isNewEpoch = aState && aState->mEpoch != mRankStates[aRank].mEpoch;
+  const RankState& known = mRankStates[aRank];
+  const bool isNewEpoch = aState && (aState->mGroup != known.mGroup ||
+                                     aState->mEpoch != known.mEpoch);
   if (isNewEpoch || ++mProgress[aRank].mAttempts > 2 * kMaxAttempts) {
     mPhase = Phase::Failed;
     return;
   }
-  if (!aState) {
+  // A read can reach another rank after the group has re-formed.
+  if (!aState || aState->mRank != aRank) {
     QueueRead(aRank);
     return;
   }
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -137,7 +137,9 @@
     // The next pass is the first one that the first leader may use.
     first.mStep = StepAbove(0, 0) - 1;
     // The first leader's map is prepared on all ranks.
+    uint32_t number = 0;
     for (RankState& rank : first.mRanks) {
+      rank.mRank = number++;
       rank.mPreparedVersion = VersionAbove(0, 0);
       rank.mStep = first.mStep;
     }
@@ -304,7 +306,7 @@
       // A leader's own rank is read on its own machine.
       if (aState.mLaggingReadsLeft > 0 && command.mRank != aLeader) {
         --state.mLaggingReadsLeft;
-        FinishRead(state, aLeader, command.mRank, LaggingState());
+        FinishRead(state, aLeader, command.mRank, LaggingState(command.mRank));
       }
       return;
     }
@@ -335,9 +337,11 @@
   }
 
   /** State of a rank before the map was prepared. */
-  static RankState LaggingState()
+  static RankState LaggingState(size_t aRank)
   {
-    return { .mStep = StepAbove(0, 0) - 1, .mMayLag = true };
+    return { .mRank = static_cast<uint32_t>(aRank),
+             .mStep = StepAbove(0, 0) - 1,
+             .mMayLag = true };
   }
 
   void FinishRead(SystemState aState,
@@ -429,6 +433,29 @@
   CHECK(explorer.States() > 10000);
 }
 
+TEST(MapChange, TakesNoStateOfAnotherRankForThatOfARank)
+{
+  const uint64_t version = VersionAbove(0, 0);
+  const RankState first{ .mRank = 0, .mPreparedVersion = version };
+  const RankState second{ .mRank = 1, .mPreparedVersion = version };
+  MapChange change({ .mVersion = version, .mStep = 4 }, { first, second });
+  change.TakeCommands();
+  change.HandleOutcome(0, OrderOutcome::Accepted);
+  change.HandleOutcome(0, OrderOutcome::Accepted);
+  change.HandleOutcome(1, OrderOutcome::Unknown);
+  change.TakeCommands();
+  RankState armed = first;
+  armed.mArmedVersion = version;
+  armed.mArmedStep = 4;
+
+  change.HandleState(1, armed);
+
+  const std::vector<RankCommand> commands = change.TakeCommands();
+  CHECK_EQUAL(1, commands.size());
+  CHECK(commands[0].mIsRead);
+  CHECK_EQUAL(1, commands[0].mRank);
+}
+
 TEST(MapChange, DetectsAnIgnoredHold)
 {
   Explorer explorer({ .mMaxLateOrders = 0,
