Never give the version of a failed change to another map

This cause is suspected, not seen in a play.

Cause: while a change clears a switch it may raise the version that supersedes the abandoned map, since another leader has prepared a higher one. The leader's own count of versions did not learn of it, and the next version above the same rank's highest is the same number. If the orders of the first change are executed late, ranks prepare the map in use under the number of the new one, and a switch gives ranks different contents.

Evidence: GivesTheVersionOfAFailedChangeToNoOther failed before, with the same version ordered in two changes: groupleadertest.cpp: CHECK(orders <= kMaxOrdersInAChange) failed

Why it works: the leader takes the highest version of each change over into its count, from which all its versions are drawn.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -509,6 +509,7 @@
   const auto elapsed =
     duration_cast<milliseconds>(mClock.Now() - mChangeStart).count();
   const bool isDone = mChange->HasSucceeded();
+  mHighestVersion = std::max(mHighestVersion, mChange->SupersedingVersion());
   if (mChange->HasBegunRelease()) {
     mReleasedStep = mChangeStep;
   }
--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -97,6 +97,8 @@
   bool HasSucceeded() const { return mPhase == Phase::Succeeded; }
   /** Whether a release of the pass may have been sent. */
   bool HasBegunRelease() const { return mHasBegunRelease; }
+  /** Highest version that this change has given to the map in use. */
+  uint64_t SupersedingVersion() const { return mPlan.mSupersedingVersion; }
   std::string_view PhaseName() const;
   /** Equal for equal states; retry counts are not compared. */
   std::string Fingerprint() const;
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <QCoreApplication>
 #include <QDeadlineTimer>
+#include <map>
 
 using namespace beryllever;
 using namespace beryllever::rankagent;
@@ -39,6 +40,14 @@
   void Freeze() { mTimer.stop(); }
   RankState& Rank(uint32_t aRank) { return mRanks[aRank]; }
   int PrepareOrders() const { return mPrepareOrders; }
+  /** Orders to prepare are not answered from now on, and another leader
+   * prepares a version above the first one. */
+  void DelayPrepareOrders() { mDelaysPrepareOrders = true; }
+  /** Number of delayed orders of each version for a rank. */
+  const std::map<uint64_t, int>& DelayedOrders() const
+  {
+    return mDelayedOrders;
+  }
 
   std::vector<uint32_t> LiveRanks() const override { return { 0, 2 }; }
   std::vector<uint32_t> EligibleRanks() const override { return { 0, 2 }; }
@@ -56,7 +65,12 @@
              const RankOrder& aOrder,
              OnOutcome aOnOutcome) override
   {
-    mPrepareOrders += aOrder.mOperation == RankOperation::Prepare ? 1 : 0;
+    const bool isPrepare = aOrder.mOperation == RankOperation::Prepare;
+    mPrepareOrders += isPrepare ? 1 : 0;
+    if (isPrepare && mDelaysPrepareOrders) {
+      DelayPrepareOrder(aRank, aOrder, aOnOutcome);
+      return;
+    }
     transport::Post(&mTimer, [this, aRank, aOrder, aOnOutcome] {
       const bool isTaken = tests::ExecuteOrder(mRanks[aRank], Step(), aOrder);
       aOnOutcome(isTaken ? OrderOutcome::Accepted : OrderOutcome::Refused);
@@ -73,6 +87,20 @@
   }
 
 private:
+  void DelayPrepareOrder(uint32_t aRank,
+                         const RankOrder& aOrder,
+                         const OnOutcome& aOnOutcome)
+  {
+    if (mDelayedOrders.empty()) {
+      mRanks[2].mPreparedVersion = VersionAbove(aOrder.mVersion, 2);
+    }
+    if (aRank == 0) {
+      ++mDelayedOrders[aOrder.mVersion];
+    }
+    transport::Post(&mTimer,
+                    [aOnOutcome] { aOnOutcome(OrderOutcome::Unknown); });
+  }
+
   void Pass()
   {
     const uint64_t next = Step() + 1;
@@ -88,6 +116,8 @@
 
   std::vector<RankState> mRanks;
   int mPrepareOrders = 0;
+  bool mDelaysPrepareOrders = false;
+  std::map<uint64_t, int> mDelayedOrders;
   QTimer mTimer;
 };
 
@@ -161,3 +191,20 @@
 
   LONGS_EQUAL(0, mGroup.PrepareOrders());
 }
+
+TEST(GroupLeader, GivesTheVersionOfAFailedChangeToNoOther)
+{
+  // Arrange: another leader leaves a hold and no order to prepare is answered.
+  constexpr int kMaxOrdersInAChange = 12;
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mGroup.Rank(0).mHeldStep = mGroup.Step() + 2;
+  mGroup.DelayPrepareOrders();
+
+  // Act
+  CHECK(ProcessEventsUntil([&] { return mGroup.DelayedOrders().size() >= 3; }));
+
+  // Assert
+  for (const auto& [version, orders] : mGroup.DelayedOrders()) {
+    CHECK(orders <= kMaxOrdersInAChange);
+  }
+}
