Give calls to agents and the execution of a map change classes of their own

ranknode.cpp (439 lines) also made the gRPC calls to the agents of other ranks, and groupleader.cpp (532) also sent the commands of a change. Both are moved as they were, to AgentClient and ChangeRunner.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -50,6 +50,10 @@
   , mPort(aPort)
   , mSampler(aPort)
   , mMetrics(aMetrics)
+  , mRunner(aClock,
+            aPort,
+            aMetrics,
+            [this] { return mSampler.CurrentMap(ExpertLayers()); })
   , mEligibleTime(aClock.Now() + kMaxOrderDelay)
   , mIncarnation(global::RandomIdentifier())
 {
@@ -153,7 +157,7 @@
 void
 GroupLeader::Tick()
 {
-  if (mSampler.IsReading() || mChange || !IsLeader() || !mEngine ||
+  if (mSampler.IsReading() || mRunner.IsRunning() || !IsLeader() || !mEngine ||
       mEngine->mExpertLayers == 0) {
     return;
   }
@@ -421,10 +425,9 @@
   aPlan.mSupersedingVersion = NextVersion();
   mHighestUsedStep = std::max(mHighestUsedStep, aPlan.mStep);
   mChangeStep = aPlan.mStep;
-  ++mChangeId;
-  mChangeStart = mClock.Now();
-  mChange.emplace(aPlan, std::move(states));
-  SendDueCommands();
+  mRunner.Begin(aPlan, std::move(states), [this](const MapChange& aChange) {
+    EndChange(aChange);
+  });
 }
 
 uint64_t
@@ -438,95 +441,16 @@
 }
 
 void
-GroupLeader::SendDueCommands()
-{
-  for (const RankCommand& command : mChange->TakeCommands()) {
-    SendCommand(command);
-  }
-  if (mChange->IsOver()) {
-    EndChange();
-  }
-}
-
-void
-GroupLeader::SendCommand(const RankCommand& aCommand)
-{
-  const size_t rank = aCommand.mRank;
-  const uint64_t id = mChangeId;
-  if (aCommand.mIsRead) {
-    mPort.Sample(static_cast<uint32_t>(rank),
-                 SampleDepth::State,
-                 [this, id, rank](const std::optional<RankSample>& aSample) {
-                   if (!mChange || id != mChangeId) {
-                     return;
-                   }
-                   LogRead(rank, aSample);
-                   mChange->HandleState(rank,
-                                        aSample ? std::optional(aSample->mState)
-                                                : std::nullopt);
-                   SendDueCommands();
-                 });
-    return;
-  }
-  RankOrder order = aCommand.mOrder;
-  if (order.mOperation == RankOperation::Prepare) {
-    order.mMap = mSampler.CurrentMap(ExpertLayers());
-  }
-  mPort.Order(static_cast<uint32_t>(rank),
-              order,
-              [this, id, rank](OrderOutcome aOutcome) {
-                if (!mChange || id != mChangeId) {
-                  return;
-                }
-                mChange->HandleOutcome(rank, aOutcome);
-                SendDueCommands();
-              });
-}
-
-void
-GroupLeader::LogRead(size_t aRank, const std::optional<RankSample>& aSample)
-{
-  if (!aSample) {
-    LOGI("A rank cannot be read during a change. rank="
-         << aRank << " change=" << mChangeStep
-         << " phase=" << mChange->PhaseName());
-    return;
-  }
-  const RankState& state = aSample->mState;
-  LOGI("A rank is read during a change. rank="
-       << aRank << " change=" << mChangeStep
-       << " phase=" << mChange->PhaseName() << " group=" << state.mGroup
-       << " epoch=" << state.mEpoch << " reportedRank=" << state.mRank
-       << " step=" << state.mStep << " map=" << state.mMapVersion
-       << " prepared=" << state.mPreparedVersion
-       << " armed=" << state.mArmedVersion << " armedStep=" << state.mArmedStep
-       << " held=" << state.mHeldStep << " mayLag=" << state.mMayLag);
-}
-
-void
-GroupLeader::EndChange()
+GroupLeader::EndChange(const MapChange& aChange)
 {
-  const auto elapsed =
-    duration_cast<milliseconds>(mClock.Now() - mChangeStart).count();
-  const bool isDone = mChange->HasSucceeded();
-  mHighestVersion = std::max(mHighestVersion, mChange->SupersedingVersion());
-  if (mChange->HasBegunRelease()) {
+  mHighestVersion = std::max(mHighestVersion, aChange.SupersedingVersion());
+  if (aChange.HasBegunRelease()) {
     mReleasedStep = mChangeStep;
   }
-  LOGI("Change of the expert map "
-       << (isDone ? "is armed" : "has failed")
-       << ". group=" << mLocalRank->mGroup << " version=" << mPreparingVersion
-       << " step=" << mChangeStep << " end=" << mChange->PhaseName()
-       << " milliseconds=" << elapsed);
-  mMetrics.Count("beryllever_map_changes",
-                 { { "outcome", isDone ? "armed" : "failed" } });
-  mMetrics.Sample("beryllever_map_change_milliseconds",
-                  static_cast<double>(elapsed));
-  if (!isDone) {
+  if (!aChange.HasSucceeded()) {
     mNextPlanTime = mClock.Now() + kDelayAfterFailedChange;
   }
   mPreparingVersion = 0;
-  mChange.reset();
 }
 
 }
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -3,6 +3,7 @@
 #include "framework/global/iclock.h"
 #include "framework/metrics/metrics.h"
 #include "published/publishedtypes.h"
+#include "rankagent/internal/changerunner.h"
 #include "rankagent/internal/groupsampler.h"
 #include "rankagent/internal/mapplanner.h"
 
@@ -77,16 +78,13 @@
   void BeginChange(ChangePlan aPlan);
   /** Returns a pass that has not started and that this leader has not used. */
   uint64_t NextStep() const;
-  void SendDueCommands();
-  void SendCommand(const RankCommand& aCommand);
-  /** Logs what a change is told of a rank, and by whom. */
-  void LogRead(size_t aRank, const std::optional<RankSample>& aSample);
-  void EndChange();
+  void EndChange(const MapChange& aChange);
 
   const global::IClock& mClock;
   IGroupPort& mPort;
   GroupSampler mSampler;
   metrics::Metrics& mMetrics;
+  ChangeRunner mRunner;
   std::optional<RankState> mLocalRank;
   global::TimePoint mEligibleTime;
   uint64_t mEligibleStep = 0;
@@ -119,10 +117,6 @@
   global::TimePoint mNextPlanTime{};
   /** The last plan was not worth a change. */
   bool mIsSettled = false;
-
-  std::optional<MapChange> mChange;
-  uint64_t mChangeId = 0;
-  global::TimePoint mChangeStart{};
 };
 
 }
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -2,7 +2,7 @@
 
 #include "framework/global/identifiers.h"
 #include "framework/log/log.h"
-#include "transport/unary.h"
+#include "transport/post.h"
 
 #include <algorithm>
 
@@ -19,15 +19,6 @@
  * s.
  */
 constexpr milliseconds kStallTimeout{ 1200 };
-/** Allows for an agent that gets only a small share of a core. */
-constexpr milliseconds kSampleTimeout{ 400 };
-constexpr milliseconds kOrderTimeout{ 200 };
-/** An order with a map sends several kilobytes to each of up to 256 ranks over
- * the leader's link. */
-constexpr milliseconds kMapOrderTimeout{ 2000 };
-/** Time for an order that is passed on; shorter, so that the leader still gets
- * the other outcomes. */
-constexpr milliseconds kRelayedOrderTimeout{ 1000 };
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -52,6 +43,7 @@
   , mPublishedState(*mRecordCodec, aClock)
   , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
   , mEngine(net::ParseTcpAddress(mEndpointAddress), *mEngineCodec)
+  , mAgents(mMesh)
   , mPeerEngines(aClock, *mEngineCodec)
   , mLeader(aClock, *this, aMetrics)
   , mService(std::make_shared<RankService>(&mContext, *this))
@@ -238,27 +230,17 @@
     });
     return;
   }
-  const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
-    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(address)));
-  mesh::v1::SampleRequest request;
-  request.set_wants_counts(aDepth == SampleDepth::Counts);
-  request.set_wants_placement(aDepth != SampleDepth::State);
-  transport::CallUnary<mesh::v1::SampleRequest, mesh::v1::SampleReply>(
-    &mContext,
-    std::move(request),
-    std::chrono::system_clock::now() + kSampleTimeout,
-    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
-      stub->async()->Sample(aContext, aRequest, aReply, std::move(aOnEnd));
-    },
-    [this, aRank, aDepth, aOnSample](const grpc::Status& aStatus,
-                                     const mesh::v1::SampleReply& aReply) {
-      if (aStatus.ok()) {
-        aOnSample(FromMessage(aReply));
-        return;
-      }
-      mPeerEngines.BypassAgent(aRank);
-      mPeerEngines.Sample(aRank, aDepth, aOnSample);
-    });
+  mAgents.Sample(address,
+                 aDepth,
+                 [this, aRank, aDepth, aOnSample](
+                   const std::optional<std::optional<RankSample>>& aReply) {
+                   if (aReply) {
+                     aOnSample(*aReply);
+                     return;
+                   }
+                   mPeerEngines.BypassAgent(aRank);
+                   mPeerEngines.Sample(aRank, aDepth, aOnSample);
+                 });
 }
 
 void
@@ -275,15 +257,15 @@
     });
     return;
   }
-  CallOrder(address,
-            aOrder,
-            aOrder.mMap.empty() ? kOrderTimeout : kMapOrderTimeout,
-            [this, aRank, aOnOutcome](bool aIsAnswered, OrderOutcome aOutcome) {
-              if (!aIsAnswered) {
-                mPeerEngines.BypassAgent(aRank);
-              }
-              aOnOutcome(aOutcome);
-            });
+  mAgents.Order(
+    address,
+    aOrder,
+    [this, aRank, aOnOutcome](bool aIsAnswered, OrderOutcome aOutcome) {
+      if (!aIsAnswered) {
+        mPeerEngines.BypassAgent(aRank);
+      }
+      aOnOutcome(aOutcome);
+    });
 }
 
 void
@@ -291,34 +273,9 @@
                      const RankOrder& aOrder,
                      OnOutcome aOnOutcome)
 {
-  CallOrder(
-    aAgent,
-    aOrder,
-    kRelayedOrderTimeout,
-    [aOnOutcome](bool, OrderOutcome aOutcome) { aOnOutcome(aOutcome); });
-}
-
-void
-RankNode::CallOrder(const std::string& aAgent,
-                    const RankOrder& aOrder,
-                    milliseconds aTimeout,
-                    OnAgentOutcome aOnOutcome)
-{
-  const auto stub = std::shared_ptr<mesh::v1::RankControl::Stub>(
-    mesh::v1::RankControl::NewStub(mMesh.ChannelTo(aAgent)));
-  mesh::v1::OrderRequest request;
-  ToMessage(aOrder, request);
-  transport::CallUnary<mesh::v1::OrderRequest, mesh::v1::OrderReply>(
-    &mContext,
-    std::move(request),
-    std::chrono::system_clock::now() + aTimeout,
-    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
-      stub->async()->Order(aContext, aRequest, aReply, std::move(aOnEnd));
-    },
-    [aOnOutcome](const grpc::Status& aStatus,
-                 const mesh::v1::OrderReply& aReply) {
-      aOnOutcome(aStatus.ok(),
-                 aStatus.ok() ? FromMessage(aReply) : OrderOutcome::Unknown);
+  mAgents.OrderAsRelay(
+    aAgent, aOrder, [aOnOutcome](bool, OrderOutcome aOutcome) {
+      aOnOutcome(aOutcome);
     });
 }
 
@@ -337,41 +294,29 @@
     relayed[it->second.mAvailabilityZone].push_back(rank);
   }
   for (const RelayGroup& group : PlanRelays(relayed)) {
-    CallRelay(group, aOrder, aOnOutcome);
+    Relay(group, aOrder, aOnOutcome);
   }
 }
 
 void
-RankNode::CallRelay(const RelayGroup& aGroup,
-                    const RankOrder& aOrder,
-                    OnRankOutcome aOnOutcome)
+RankNode::Relay(const RelayGroup& aGroup,
+                const RankOrder& aOrder,
+                OnRankOutcome aOnOutcome)
 {
-  const auto stub =
-    std::shared_ptr<mesh::v1::RankControl::Stub>(mesh::v1::RankControl::NewStub(
-      mMesh.ChannelTo(AgentAddress(aGroup.front()))));
-  mesh::v1::RelayRequest request;
-  ToMessage(aOrder, *request.mutable_order());
-  for (size_t i = 1; i < aGroup.size(); ++i) {
-    request.add_agents(AgentAddress(aGroup[i]));
+  std::vector<std::string> agents;
+  for (const uint32_t rank : aGroup) {
+    agents.push_back(AgentAddress(rank));
   }
-  transport::CallUnary<mesh::v1::RelayRequest, mesh::v1::RelayReply>(
-    &mContext,
-    std::move(request),
-    std::chrono::system_clock::now() + kMapOrderTimeout,
-    [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
-      stub->async()->Relay(aContext, aRequest, aReply, std::move(aOnEnd));
-    },
-    [this, aGroup, aOnOutcome](const grpc::Status& aStatus,
-                               const mesh::v1::RelayReply& aReply) {
-      if (!aStatus.ok()) {
+  mAgents.Relay(
+    agents,
+    aOrder,
+    [this, aGroup, aOnOutcome](bool aIsAnswered,
+                               const std::vector<OrderOutcome>& aOutcomes) {
+      if (!aIsAnswered) {
         mPeerEngines.BypassAgent(aGroup.front());
       }
       for (size_t i = 0; i < aGroup.size(); ++i) {
-        const int index = static_cast<int>(i);
-        aOnOutcome(aGroup[i],
-                   aStatus.ok() && index < aReply.replies_size()
-                     ? FromMessage(aReply.replies(index))
-                     : OrderOutcome::Unknown);
+        aOnOutcome(aGroup[i], aOutcomes[i]);
       }
     });
 }
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -4,6 +4,7 @@
 #include "framework/settings/jsondocument.h"
 #include "mesh/meshnode.h"
 #include "published/publishedstate.h"
+#include "rankagent/internal/agentclient.h"
 #include "rankagent/internal/countedranks.h"
 #include "rankagent/internal/engineclient.h"
 #include "rankagent/internal/groupleader.h"
@@ -67,16 +68,10 @@
     int mRequests = 0;
   };
 
-  /** Called with whether the agent has answered, and with the outcome. */
-  using OnAgentOutcome = std::function<void(bool, OrderOutcome)>;
-
-  void CallOrder(const std::string& aAgent,
-                 const RankOrder& aOrder,
-                 std::chrono::milliseconds aTimeout,
-                 OnAgentOutcome aOnOutcome);
-  void CallRelay(const RelayGroup& aGroup,
-                 const RankOrder& aOrder,
-                 OnRankOutcome aOnOutcome);
+  /** Gives an order to ranks, through the agent of the first one. */
+  void Relay(const RelayGroup& aGroup,
+             const RankOrder& aOrder,
+             OnRankOutcome aOnOutcome);
   void ReadState();
   void HandleState(const std::optional<RankState>& aState);
   void FinishSample(RankSample aSample, const OnSample& aOnSample);
@@ -91,6 +86,7 @@
   published::PublishedState mPublishedState;
   mesh::MeshNode mMesh;
   EngineClient mEngine;
+  AgentClient mAgents;
   PeerEngines mPeerEngines;
   GroupLeader mLeader;
   std::shared_ptr<RankService> mService;
