Log where a configuration came from and how long the store was silent

When a gateway acted on an old configuration, its lines did not tell whether the change had arrived late or had taken effect late, nor whether it came from the store or from a peer. The new line names version, revision and source once a version; the lines on the store state for how long it had not answered, which a watch that waits hid until now.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -93,6 +93,7 @@
   ApplyLimits();
   mIsReadingStore = true;
   mStoreUnreachableSince = mClock.Now();
+  mLastStoreContact = mClock.Now();
   mDependencies.mSource->Start(*this);
   mMesh.Start();
   mTimer.start(kTickInterval);
@@ -227,7 +228,7 @@
                            uint64_t aRevision)
 {
   if (mState.ApplyListing(aRecords, aRevision)) {
-    UpdateSnapshot();
+    UpdateSnapshot("listing");
   }
 }
 
@@ -236,7 +237,7 @@
                            uint64_t aRevision)
 {
   if (mState.ApplyChanges(aRecords, aRevision)) {
-    UpdateSnapshot();
+    UpdateSnapshot("watch");
   }
 }
 
@@ -246,8 +247,17 @@
   mState.RecordContact();
   if (!mIsStoreReachable) {
     mIsStoreReachable = true;
-    LOGI("The platform's store answers.");
+    LOGI("The platform's store answers. silentMilliseconds="
+         << StoreSilence().count());
   }
+  mLastStoreContact = mClock.Now();
+}
+
+milliseconds
+GatewayNode::StoreSilence() const
+{
+  return std::chrono::duration_cast<milliseconds>(mClock.Now() -
+                                                  mLastStoreContact);
 }
 
 void
@@ -255,7 +265,8 @@
 {
   mState.RecordFailure();
   mMetrics.Count("beryllever_store_failures");
-  LOGW("The platform's store does not serve this gateway. reason=" << aReason);
+  LOGW("The platform's store does not serve this gateway. silentMilliseconds="
+       << StoreSilence().count() << " reason=" << aReason);
   if (mIsStoreReachable) {
     mStoreUnreachableSince = mClock.Now();
   }
@@ -280,7 +291,7 @@
   if (mState.ApplyChanges(aBatch.mRecords, aBatch.mRevision)) {
     LOGI("Published items came from a peer. items="
          << aBatch.mRecords.size() << " revision=" << aBatch.mRevision);
-    UpdateSnapshot();
+    UpdateSnapshot("peer");
   }
 }
 
@@ -300,9 +311,16 @@
 }
 
 void
-GatewayNode::UpdateSnapshot()
+GatewayNode::UpdateSnapshot(std::string_view aSource)
 {
-  mTraffic.SetSnapshot(mState.Current());
+  const auto snapshot = mState.Current();
+  mTraffic.SetSnapshot(snapshot);
+  if (snapshot->Version() != mVersion) {
+    mVersion = snapshot->Version();
+    LOGI("Requests are routed by a new configuration. version="
+         << mVersion << " revision=" << snapshot->Revision()
+         << " source=" << aSource);
+  }
   UpdateServing();
 }
 
@@ -358,7 +376,7 @@
     mMesh.AnnounceRevision();
   }
   if (mState.ExpireRemovals()) {
-    UpdateSnapshot();
+    UpdateSnapshot("expiry");
   }
   if (mIsDraining && !mHasStoppedAccepting && mClock.Now() >= mAcceptDeadline) {
     mTraffic.StopAccepting();
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -69,8 +69,10 @@
   GatewayFleet Fleet();
   void ApplyLimits();
   /** Passes the current snapshot on to the traffic server and calls
-   * UpdateServing. */
-  void UpdateSnapshot();
+   * UpdateServing. aSource, which is logged, tells where a change came from. */
+  void UpdateSnapshot(std::string_view aSource);
+  /** Time since the last answer of the store. */
+  std::chrono::milliseconds StoreSilence() const;
   /** Updates whether the mesh sees this gateway as ready for callers, and
    * announces it at once when it becomes ready. */
   void UpdateServing();
@@ -95,6 +97,9 @@
   bool mIsReadingStore = false;
   bool mIsStoreReachable = false;
   global::TimePoint mStoreUnreachableSince{};
+  global::TimePoint mLastStoreContact{};
+  /** Version of the configuration by which requests are routed. */
+  int64_t mVersion = 0;
   /** Last revision announced to the peers that do not read the store. */
   uint64_t mAnnouncedRevision = 0;
   bool mIsDraining = false;
