Ask another peer for published items when the first does not answer soon

A gateway that the store turns away drew one peer at random of those that were ahead and waited for it, for up to 1.5 s, with no other call meanwhile; it could be one that had just been frozen or cut off, or the same one again. Together with the time until it hears of a change that uses up the 2 s in which a change has to be in force.

The choice is now a class of its own. Another peer is asked as well after 0.3 s, three at most; gateways heard in the last 0.7 s and of the same zone come first, those that have not helped lately last. So two silent peers cost 0.6 s instead of 3 s, and nothing is sent twice while peers answer. Each fetch is logged with its peer, duration and outcome.

--- a/src/mesh/internal/membertable.cpp
+++ b/src/mesh/internal/membertable.cpp
@@ -133,6 +133,14 @@
   return alive;
 }
 
+global::TimePoint
+MemberTable::LastHeard(const std::string& aVm) const
+{
+  const auto it = mEntries.find(aVm);
+  return it == mEntries.end() ? global::TimePoint{}
+                              : it->second.mDeadline - kMemberTimeout;
+}
+
 std::vector<Member>
 MemberTable::AliveWithRole(const std::string& aRole) const
 {
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -35,7 +35,9 @@
 constexpr uint64_t kCrossZoneRounds = 2;
 constexpr uint64_t kCrossZoneGateways = 4;
 constexpr milliseconds kGossipTimeout{ 700 };
-constexpr milliseconds kFetchTimeout{ 1500 };
+/** Several times the delay after which other peers are asked as well, so that
+ * a slow answer is still of use. */
+constexpr milliseconds kFetchTimeout{ 4 * kFetchHedgeDelay };
 
 }
 
@@ -50,8 +52,12 @@
   , mService(std::make_shared<MeshService>(*this))
   , mRound(global::RandomIdentifier())
   , mRandom(global::RandomIdentifier())
+  , mFetchPlan(aClock)
 {
   QObject::connect(&mTimer, &QTimer::timeout, this, [this] { Tick(); });
+  mHedgeTimer.setSingleShot(true);
+  QObject::connect(
+    &mHedgeTimer, &QTimer::timeout, this, [this] { FetchIfBehind(); });
 }
 
 MeshNode::~MeshNode() = default;
@@ -79,6 +85,7 @@
 MeshNode::Stop()
 {
   mTimer.stop();
+  mHedgeTimer.stop();
 }
 
 std::shared_ptr<grpc::Channel>
@@ -315,23 +322,48 @@
 
 void
 MeshNode::FetchIfBehind()
+{
+  const auto address = mFetchPlan.Choose(SourcesAhead());
+  if (!address) {
+    return;
+  }
+  if (mFetchPlan.Pending() > 0) {
+    LOGW("A peer does not send its published items soon; another one is asked "
+         "as well. peer="
+         << *address << " pending=" << mFetchPlan.Pending());
+  }
+  mFetchPlan.RecordStart(*address);
+  FetchFrom(*address);
+  mHedgeTimer.start(kFetchHedgeDelay);
+}
+
+std::vector<FetchSource>
+MeshNode::SourcesAhead()
 {
   const uint64_t ownRevision = mListener->PublishedRevision();
-  std::vector<std::string> ahead;
+  std::vector<FetchSource> sources;
   for (const Member& member : mMembers.Alive()) {
     if (member.mPublishedRevision > ownRevision) {
-      ahead.push_back(member.mPeerAddress);
+      sources.push_back({ .mAddress = member.mPeerAddress,
+                          .mIsGateway = member.mRole == kGatewayRole,
+                          .mIsInSameZone = member.mAvailabilityZone ==
+                                           mMembers.Self().mAvailabilityZone,
+                          .mLastHeard = mMembers.LastHeard(member.mVm) });
     }
   }
-  if (mIsFetching || ahead.empty()) {
-    return;
-  }
-  mIsFetching = true;
-  std::uniform_int_distribution<size_t> distribution(0, ahead.size() - 1);
-  const auto stub = std::shared_ptr<v1::Mesh::Stub>(
-    v1::Mesh::NewStub(ChannelTo(ahead[distribution(mRandom)])));
+  std::shuffle(sources.begin(), sources.end(), mRandom);
+  return sources;
+}
+
+void
+MeshNode::FetchFrom(const std::string& aAddress)
+{
   v1::FetchRequest request;
-  request.set_since_revision(ownRevision);
+  const uint64_t since = mListener->PublishedRevision();
+  request.set_since_revision(since);
+  const auto start = mClock.Now();
+  const auto stub =
+    std::shared_ptr<v1::Mesh::Stub>(v1::Mesh::NewStub(ChannelTo(aAddress)));
   transport::CallUnary<v1::FetchRequest, v1::FetchReply>(
     this,
     std::move(request),
@@ -339,14 +371,26 @@
     [stub](auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Fetch(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [this](const grpc::Status& aStatus, const v1::FetchReply& aReply) {
-      mIsFetching = false;
-      if (!aStatus.ok()) {
-        LOGW("Fetching published items from a peer failed. reason="
-             << aStatus.error_message());
-        return;
+    [this, aAddress, since, start](const grpc::Status& aStatus,
+                                   const v1::FetchReply& aReply) {
+      const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(mClock.Now() - start);
+      const bool hasHelped = aStatus.ok() && aReply.revision() > since;
+      mFetchPlan.RecordEnd(aAddress, hasHelped);
+      if (aStatus.ok()) {
+        LOGI("A peer has sent its published items. peer="
+             << aAddress << " milliseconds=" << elapsed.count()
+             << " items=" << aReply.records_size() << " since=" << since
+             << " revision=" << aReply.revision());
+        mListener->HandleRecords(FromMessage(aReply, mClock.Now()));
+      } else {
+        LOGW("Fetching published items from a peer failed. peer="
+             << aAddress << " milliseconds=" << elapsed.count()
+             << " since=" << since << " reason=" << aStatus.error_message());
+      }
+      if (hasHelped) {
+        FetchIfBehind();
       }
-      mListener->HandleRecords(FromMessage(aReply, mClock.Now()));
     });
 }
 
--- a/src/mesh/membertable.h
+++ b/src/mesh/membertable.h
@@ -37,6 +37,8 @@
   /** Members that have not expired, without this process. */
   std::vector<Member> Alive() const;
   std::vector<Member> AliveWithRole(const std::string& aRole) const;
+  /** When the newest heartbeat of a process arrived, directly or relayed. */
+  global::TimePoint LastHeard(const std::string& aVm) const;
   /** Names of the gateways that may be alive, with this one if it is a gateway.
    * A gateway that has gone silent is kept for a while: it may be cut off. */
   std::vector<std::string> KnownGateways() const;
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -2,6 +2,7 @@
 
 #include "framework/metrics/metrics.h"
 #include "mesh.grpc.pb.h"
+#include "mesh/fetchplan.h"
 #include "mesh/membertable.h"
 
 #include <QObject>
@@ -84,7 +85,10 @@
   void GossipWith(const std::string& aAddress, const Gossip& aGossip);
   void MergeMembers(
     const google::protobuf::RepeatedPtrField<v1::Member>& aMembers);
+  /** Fetches published items if a peer has any that this process lacks. */
   void FetchIfBehind();
+  std::vector<FetchSource> SourcesAhead();
+  void FetchFrom(const std::string& aAddress);
   void DropUnusedChannels();
 
   const global::IClock& mClock;
@@ -101,8 +105,10 @@
    * in the same round. */
   uint64_t mRound;
   std::mt19937_64 mRandom;
+  FetchPlan mFetchPlan;
+  /** Runs until another peer may be asked as well. */
+  QTimer mHedgeTimer;
   QTimer mTimer;
-  bool mIsFetching = false;
 };
 
 }
