Tell a zone that the store turns away of a new revision at once

A reader of the store told only the gateways of its own zone of a new revision. Where the store turns away all gateways of a zone, these heard of it by chance: each gateway of another zone gossips with one random gateway of the other zones every half second, so that with two such gateways in a zone one hears nothing for a second in one case of eight.

Two readers of other zones, by rendezvous hashing, now tell each gateway of a zone that has no reader. Zones with a reader cost nothing more.

Before, AZoneThatTheStoreTurnsAwayIsToldOfANewRevisionByOtherZones found no gateway told.

--- a/src/mesh/gossipplan.h
+++ b/src/mesh/gossipplan.h
@@ -23,6 +23,12 @@
            const Member& aGateway,
            const std::vector<Member>& aGateways);
 
+/** Gateways that a reader of the store tells of a new revision: those of its
+ * own zone that do not read the store. In a zone without a reader, each gateway
+ * is told by a few readers of other zones, whatever their number. */
+std::vector<Member>
+RevisionTargets(const Member& aSelf, const std::vector<Member>& aGateways);
+
 /** Whether a gateway reads the platform's store itself. In each zone the first
  * few gateways by Vm name do, without those whose access fails. A gateway whose
  * access fails keeps trying. */
--- a/src/mesh/internal/gossipplan.cpp
+++ b/src/mesh/internal/gossipplan.cpp
@@ -18,6 +18,30 @@
 /** Gateways of a zone that read the store. With three, the store may refuse one
  * and another one may fail without a gap in the updates. */
 constexpr int kStoreReadersPerZone = 3;
+/** Readers of other zones that tell a gateway of a new revision if its own zone
+ * has no reader. With two, one of them may be late. */
+constexpr size_t kRemoteInformants = 2;
+
+bool
+IsReading(const Member& aMember)
+{
+  return aMember.mStoreAccess == StoreAccess::Reading;
+}
+
+/** Whether this reader is among the few that inform a gateway of another zone.
+ */
+bool
+IsRemoteInformant(const Member& aSelf,
+                  const Member& aGateway,
+                  const std::vector<Member>& aReaders)
+{
+  const uint64_t ownWeight = global::RendezvousWeight(aGateway.mVm, aSelf.mVm);
+  const auto preferred =
+    std::count_if(aReaders.begin(), aReaders.end(), [&](const Member& aReader) {
+      return global::RendezvousWeight(aGateway.mVm, aReader.mVm) > ownWeight;
+    });
+  return static_cast<size_t>(preferred) < kRemoteInformants;
+}
 
 std::vector<Member>
 TargetsInZone(const std::string& aZone,
@@ -77,6 +101,35 @@
     });
 }
 
+std::vector<Member>
+RevisionTargets(const Member& aSelf, const std::vector<Member>& aGateways)
+{
+  std::set<std::string> zonesWithReader{ aSelf.mAvailabilityZone };
+  std::vector<Member> readers;
+  for (const Member& gateway : aGateways) {
+    if (IsReading(gateway)) {
+      zonesWithReader.insert(gateway.mAvailabilityZone);
+      readers.push_back(gateway);
+    }
+  }
+  std::vector<Member> targets;
+  for (const Member& gateway : aGateways) {
+    if (IsReading(gateway) ||
+        gateway.mPublishedRevision >= aSelf.mPublishedRevision) {
+      continue;
+    }
+    const bool isLocal = gateway.mAvailabilityZone == aSelf.mAvailabilityZone;
+    const bool isRemoteTarget =
+      IsReading(aSelf) &&
+      !zonesWithReader.contains(gateway.mAvailabilityZone) &&
+      IsRemoteInformant(aSelf, gateway, readers);
+    if (isLocal || isRemoteTarget) {
+      targets.push_back(gateway);
+    }
+  }
+  return targets;
+}
+
 bool
 IsStoreReader(const Member& aSelf, const std::vector<Member>& aPeers)
 {
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -114,12 +114,9 @@
   Member& self = mMembers.Self();
   ++self.mHeartbeat;
   self.mPublishedRevision = mListener->PublishedRevision();
-  for (const Member& member : mMembers.AliveWithRole(kGatewayRole)) {
-    if (member.mAvailabilityZone == self.mAvailabilityZone &&
-        member.mStoreAccess != StoreAccess::Reading &&
-        member.mPublishedRevision < self.mPublishedRevision) {
-      GossipWith(member.mPeerAddress, {});
-    }
+  for (const Member& member :
+       RevisionTargets(self, mMembers.AliveWithRole(kGatewayRole))) {
+    GossipWith(member.mPeerAddress, {});
   }
 }
 
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -54,8 +54,8 @@
   void Stop();
   /** Sends a change of this process to all live peers at once. */
   void Announce();
-  /** Sends a new published revision to the gateways of this zone that do not
-   * read the store. */
+  /** Sends a new published revision to the gateways that do not learn of it
+   * from the store. */
   void AnnounceRevision();
 
   MemberTable& Members() { return mMembers; }
--- a/src/mesh/tests/gossipplantest.cpp
+++ b/src/mesh/tests/gossipplantest.cpp
@@ -140,3 +140,49 @@
     CHECK(IsStoreReader(self, gateways));
   }
 }
+
+TEST(GossipPlan, TellsTheGatewaysOfTheZoneThatDoNotReadOfANewRevision)
+{
+  auto gateways = Gateways(4, { "a" });
+  gateways[1].mStoreAccess = StoreAccess::Reading;
+  gateways[2].mStoreAccess = StoreAccess::Failing;
+  gateways[3].mPublishedRevision = 7;
+  const Member self{ .mVm = "self",
+                     .mAvailabilityZone = "a",
+                     .mPublishedRevision = 7,
+                     .mStoreAccess = StoreAccess::Reading };
+
+  const auto targets = RevisionTargets(self, gateways);
+
+  LONGS_EQUAL(2, targets.size());
+  STRCMP_EQUAL(gateways[0].mVm.c_str(), targets[0].mVm.c_str());
+  STRCMP_EQUAL(gateways[2].mVm.c_str(), targets[1].mVm.c_str());
+}
+
+TEST(GossipPlan, AZoneThatTheStoreTurnsAwayIsToldOfANewRevisionByOtherZones)
+{
+  // Arrange: the gateways of zone c are turned away, the others read.
+  auto gateways = Gateways(15, { "a", "b", "c" });
+  for (Member& gateway : gateways) {
+    gateway.mStoreAccess = gateway.mAvailabilityZone == "c"
+                             ? StoreAccess::Failing
+                             : StoreAccess::Reading;
+  }
+
+  // Act: each reader has a new revision.
+  std::map<std::string, int> calls;
+  for (Member self : gateways) {
+    if (self.mStoreAccess == StoreAccess::Reading) {
+      self.mPublishedRevision = 1;
+      for (const Member& target : RevisionTargets(self, gateways)) {
+        ++calls[target.mVm];
+      }
+    }
+  }
+
+  // Assert: two readers tell each gateway of the zone.
+  LONGS_EQUAL(15, calls.size());
+  for (const auto& [vm, n] : calls) {
+    LONGS_EQUAL(2, n);
+  }
+}
