Replace a connection to a peer on which calls time out

Open connections may go silent for good while new ones work. gRPC notices that after its keepalive time of 5 s and timeout of 2 s; until then all gossip and fetches over the connection time out, and after 2.5 s the peer counts as gone. A gateway that depends on its peers for changes hears of none for 7 s.

After two calls in a row that have timed out the channel is replaced, so the peer is heard again before it counts as gone. A peer that is frozen or cut off costs one new connection every 1.4 s at most.

--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -35,6 +35,10 @@
 constexpr uint64_t kCrossZoneRounds = 2;
 constexpr uint64_t kCrossZoneGateways = 4;
 constexpr milliseconds kGossipTimeout{ 700 };
+/** Calls to a peer that time out in a row before its connection is replaced:
+ * open connections may go silent while new ones work. With two, a peer is heard
+ * again before it counts as gone. */
+constexpr int kTimeoutsUntilReconnect = 2;
 /** Several times the delay after which other peers are asked as well, so that
  * a slow answer is still of use. */
 constexpr milliseconds kFetchTimeout{ 4 * kFetchHedgeDelay };
@@ -254,6 +258,7 @@
     [this, aAddress](const grpc::Status& aStatus,
                      const v1::GossipReply& aReply) {
       mIsCallPending[aAddress] = false;
+      ReplaceSilentChannel(aAddress, aStatus);
       if (!aStatus.ok()) {
         mMetrics.Count("beryllever_gossip_failures");
         return;
@@ -374,6 +379,7 @@
         std::chrono::duration_cast<milliseconds>(mClock.Now() - start);
       const bool hasHelped = aStatus.ok() && aReply.revision() > since;
       mFetchPlan.RecordEnd(aAddress, hasHelped);
+      ReplaceSilentChannel(aAddress, aStatus);
       if (aStatus.ok()) {
         LOGI("A peer has sent its published items. peer="
              << aAddress << " milliseconds=" << elapsed.count()
@@ -399,6 +405,24 @@
     mListener->RecordsSince(aRequest.since_revision()), mClock.Now(), aReply);
 }
 
+void
+MeshNode::ReplaceSilentChannel(const std::string& aAddress,
+                               const grpc::Status& aStatus)
+{
+  if (aStatus.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED) {
+    mTimeouts.erase(aAddress);
+    return;
+  }
+  if (++mTimeouts[aAddress] < kTimeoutsUntilReconnect) {
+    return;
+  }
+  LOGI("The connection to a peer is replaced, because calls on it time out. "
+       "peer="
+       << aAddress);
+  mTimeouts.erase(aAddress);
+  mChannels.erase(aAddress);
+}
+
 void
 MeshNode::DropUnusedChannels()
 {
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -89,6 +89,9 @@
   void FetchIfBehind();
   std::vector<FetchSource> SourcesAhead();
   void FetchFrom(const std::string& aAddress);
+  /** Replaces the connection to a peer after calls that have timed out. */
+  void ReplaceSilentChannel(const std::string& aAddress,
+                            const grpc::Status& aStatus);
   void DropUnusedChannels();
 
   const global::IClock& mClock;
@@ -99,6 +102,8 @@
   std::shared_ptr<grpc::Service> mService;
   std::map<std::string, std::shared_ptr<grpc::Channel>> mChannels;
   std::map<std::string, bool> mIsCallPending;
+  /** Calls to each peer that have timed out in a row. */
+  std::map<std::string, int> mTimeouts;
   /** Rank agents that have reported to this gateway since the last round. */
   std::map<std::string, Member> mReportingAgents;
   /** Starts at a random number, so that gateways do not gossip with other zones
