--- a/src/configuration/internal/processsettings.cpp
+++ b/src/configuration/internal/processsettings.cpp
@@ -83,6 +83,8 @@
     mSite.mEndpointAddress = aJson.value("endpointAddress", "");
     mSite.mTimeToLive = std::chrono::seconds(
       aJson.value("timeToLiveSeconds", mSite.mTimeToLive.count()));
+    mSite.mContactTime = std::chrono::milliseconds(
+      aJson.value("contactMilliseconds", mSite.mContactTime.count()));
     mSite.mTerminationGracePeriod = std::chrono::milliseconds(
       aJson.value("graceMilliseconds", mSite.mTerminationGracePeriod.count()));
     mSite.mRetryRatio = aJson.value("retryRatio", mSite.mRetryRatio);
--- a/src/configuration/processsettings.h
+++ b/src/configuration/processsettings.h
@@ -44,6 +44,9 @@
   std::string mEndpointAddress;
   /** Time for which callers may cache a response of the directory. */
   std::chrono::seconds mTimeToLive{ 2 };
+  /** Time after a disturbance from which time bounds hold again. A lost
+   * connection to the store is replaced within it. */
+  std::chrono::milliseconds mContactTime{ 3000 };
   /** Time from SIGTERM until the process must have exited. */
   std::chrono::milliseconds mTerminationGracePeriod{ 8000 };
   /** Retry budget of a pool: up to mRetryRatio * requests + mRetryExtra retries
