--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -2,6 +2,7 @@
 
 #include "framework/metrics/metrics.h"
 #include "mesh.grpc.pb.h"
+#include "mesh/fetchplan.h"
 #include "mesh/membertable.h"
 
 #include <QObject>
@@ -53,8 +54,8 @@
   void Stop();
   /** Sends a change of this process to all live peers at once. */
   void Announce();
-  /** Sends a new published revision to the gateways of this zone that do not
-   * read the store. */
+  /** Sends a new published revision to the gateways that do not learn of it
+   * from the store. */
   void AnnounceRevision();
 
   MemberTable& Members() { return mMembers; }
@@ -84,7 +85,13 @@
   void GossipWith(const std::string& aAddress, const Gossip& aGossip);
   void MergeMembers(
     const google::protobuf::RepeatedPtrField<v1::Member>& aMembers);
+  /** Fetches published items if a peer has any that this process lacks. */
   void FetchIfBehind();
+  std::vector<FetchSource> SourcesAhead();
+  void FetchFrom(const std::string& aAddress);
+  /** Replaces the connection to a peer after calls that have timed out. */
+  void ReplaceSilentChannel(const std::string& aAddress,
+                            const grpc::Status& aStatus);
   void DropUnusedChannels();
 
   const global::IClock& mClock;
@@ -95,14 +102,18 @@
   std::shared_ptr<grpc::Service> mService;
   std::map<std::string, std::shared_ptr<grpc::Channel>> mChannels;
   std::map<std::string, bool> mIsCallPending;
+  /** Calls to each peer that have timed out in a row. */
+  std::map<std::string, int> mTimeouts;
   /** Rank agents that have reported to this gateway since the last round. */
   std::map<std::string, Member> mReportingAgents;
   /** Starts at a random number, so that gateways do not gossip with other zones
    * in the same round. */
   uint64_t mRound;
   std::mt19937_64 mRandom;
+  FetchPlan mFetchPlan;
+  /** Runs until another peer may be asked as well. */
+  QTimer mHedgeTimer;
   QTimer mTimer;
-  bool mIsFetching = false;
 };
 
 }
