--- a/src/mesh/tests/meshnodetest.cpp
+++ b/src/mesh/tests/meshnodetest.cpp
@@ -13,16 +13,26 @@
 
 namespace {
 
-constexpr quint16 kRelayPort = 18441;
-constexpr quint16 kPeerPort = 18442;
-constexpr char kRelayAddress[] = "127.0.0.1:18441";
-constexpr char kPeerAddress[] = "127.0.0.1:18442";
+quint16
+FreePort()
+{
+  QTcpServer server;
+  server.listen(QHostAddress::LocalHost);
+  return server.serverPort();
+}
+
+std::string
+AddressOf(quint16 aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
 
 /** Passes connections on to the peer. */
 class Relay : public QTcpServer
 {
 public:
-  Relay()
+  explicit Relay(quint16 aPeerPort)
+    : mPeerPort(aPeerPort)
   {
     QObject::connect(
       this, &QTcpServer::newConnection, this, [this] { PassOn(); });
@@ -41,7 +51,7 @@
   {
     QTcpSocket* const caller = nextPendingConnection();
     auto* const peer = new QTcpSocket(this);
-    peer->connectToHost("127.0.0.1", kPeerPort);
+    peer->connectToHost("127.0.0.1", mPeerPort);
     Copy(caller, peer);
     Copy(peer, caller);
   }
@@ -52,6 +62,8 @@
       aTo->write(aFrom->readAll());
     });
   }
+
+  const quint16 mPeerPort;
 };
 
 class NoItems : public IMeshListener
@@ -80,28 +92,34 @@
   global::SteadyClock mClock;
   metrics::Metrics mMetrics;
   NoItems mItems;
-  MeshNode mPeer{ mClock, GatewayAt("peer", kRelayAddress), {}, mMetrics };
-  MeshNode mNode{
-    mClock, GatewayAt("self", "127.0.0.1:1"), { kRelayAddress }, mMetrics
-  };
+  const quint16 mPeerPort = FreePort();
+  Relay mRelay{ mPeerPort };
   transport::GrpcServer mServer;
-  Relay mRelay;
+  std::optional<MeshNode> mPeer;
+  std::optional<MeshNode> mNode;
 
   void setup() override
   {
-    mPeer.SetListener(mItems);
-    mNode.SetListener(mItems);
-    mServer.Add(mPeer.Service());
-    CHECK(mServer.Start(kPeerAddress));
-    CHECK(mRelay.listen(QHostAddress::LocalHost, kRelayPort));
-    mPeer.Start();
-    mNode.Start();
+    CHECK(mRelay.listen(QHostAddress::LocalHost));
+    const std::string relay = AddressOf(mRelay.serverPort());
+    mPeer.emplace(
+      mClock, GatewayAt("peer", relay), std::vector<std::string>{}, mMetrics);
+    mNode.emplace(mClock,
+                  GatewayAt("self", "127.0.0.1:1"),
+                  std::vector<std::string>{ relay },
+                  mMetrics);
+    mPeer->SetListener(mItems);
+    mNode->SetListener(mItems);
+    mServer.Add(mPeer->Service());
+    CHECK(mServer.Start(AddressOf(mPeerPort)));
+    mPeer->Start();
+    mNode->Start();
   }
 
   void teardown() override
   {
-    mNode.Stop();
-    mPeer.Stop();
+    mNode->Stop();
+    mPeer->Stop();
     mServer.Stop();
   }
 
@@ -110,7 +128,7 @@
   {
     while (mClock.Now() < aDeadline) {
       QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
-      if (mNode.Members().LastHeard("peer") > aTime) {
+      if (mNode->Members().LastHeard("peer") > aTime) {
         return true;
       }
     }
