Find parts of prompts that crash endpoints, as a pure decision

One of several suspects may be tried alone; the only one is refused for 30 s, four times longer after each further crash, up to 10 min, then one trial at a time. An endpoint that serves on has not crashed. All that is remembered is bounded. Not wired yet.

--- a/src/gateway/requestcodec.h
+++ b/src/gateway/requestcodec.h
@@ -2,6 +2,7 @@
 
 #include "framework/global/iclock.h"
 #include "framework/net/httpclientconnection.h"
+#include "quarantine/soundparts.h"
 
 #include <chrono>
 #include <optional>
@@ -27,6 +28,8 @@
   double mExpectedOutputTokens = 0;
   /** Id of the last event that the caller received, to resume a stream. */
   std::optional<int64_t> mLastEventId;
+  /** Parts of the prompt that other requests may have too, in their order. */
+  std::vector<quarantine::PromptPart> mSharedParts;
 };
 
 /** Metadata sent to the endpoint with one attempt. */
--- /dev/null
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -0,0 +1,329 @@
+#include "quarantine/promptquarantine.h"
+
+#include <algorithm>
+
+namespace beryllever::quarantine {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::seconds;
+
+/** Sound parts that are remembered; about 100 bytes each. */
+constexpr size_t kMaxSoundParts = 16384;
+/** Suspected parts that are remembered. */
+constexpr size_t kMaxSuspicions = 256;
+/** Suspected parts that another gateway is told of at a time. */
+constexpr size_t kMaxNotices = 64;
+/** Crashes of one part that are remembered. */
+constexpr size_t kMaxCrashes = 4;
+/** Withdrawn crashes that are remembered. */
+constexpr size_t kMaxWithdrawn = 64;
+/** Time for which a part is refused after its first crash. A trial that
+ * crashes takes a whole group away for some seconds, so it is rare. */
+constexpr milliseconds kFirstRefusalTime = seconds(30);
+/** Factor by which the time grows with each further crash. */
+constexpr int kRefusalTimeFactor = 4;
+constexpr milliseconds kMaxRefusalTime = seconds(600);
+/** Fraction of the time that gateways add at random, so that two do not try
+ * the part in the same moment. */
+constexpr double kRefusalTimeSpread = 0.2;
+/** Longest time to the first event of a trial. */
+constexpr milliseconds kTrialTime{ 2000 };
+/** Data that arrived before a crash may be read this much later. */
+constexpr milliseconds kReadDelay{ 300 };
+/** A crashed endpoint is not back sooner. */
+constexpr milliseconds kMinRestartTime{ 1000 };
+
+milliseconds
+RefusalTime(size_t aCrashes)
+{
+  milliseconds time = kFirstRefusalTime;
+  for (size_t i = 1; i < aCrashes && time < kMaxRefusalTime; ++i) {
+    time *= kRefusalTimeFactor;
+  }
+  return std::min(time, kMaxRefusalTime);
+}
+
+/** A time that another gateway states. */
+milliseconds
+Bounded(milliseconds aTime)
+{
+  return std::clamp(aTime, milliseconds(0), 2 * kMaxRefusalTime);
+}
+
+}
+
+PromptQuarantine::PromptQuarantine(const global::IClock& aClock, uint64_t aSeed)
+  : mClock(aClock)
+  , mRandom(aSeed)
+  , mSound(kMaxSoundParts)
+{
+}
+
+std::optional<Refusal>
+PromptQuarantine::FindRefusal(const std::vector<PromptPart>& aParts) const
+{
+  if (mSuspicions.empty()) {
+    return std::nullopt;
+  }
+  const auto suspected =
+    std::count_if(aParts.begin(), aParts.end(), [this](PromptPart aPart) {
+      return mSuspicions.contains(aPart);
+    });
+  const auto now = mClock.Now();
+  for (const PromptPart part : aParts) {
+    const auto it = mSuspicions.find(part);
+    if (it == mSuspicions.end()) {
+      continue;
+    }
+    const auto until = RefusedUntil(it->second, suspected == 1);
+    if (now < until) {
+      return Refusal{ part, std::chrono::ceil<milliseconds>(until - now) };
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+PromptQuarantine::IsSoleSuspect(const Suspicion& aSuspicion) const
+{
+  if (aSuspicion.mCrashes.size() != 1) {
+    return true;
+  }
+  const EndpointLife& crash = *aSuspicion.mCrashes.begin();
+  const auto suspects = std::count_if(
+    mSuspicions.begin(), mSuspicions.end(), [&](const auto& aOther) {
+      return aOther.second.mCrashes.contains(crash);
+    });
+  return suspects == 1;
+}
+
+global::TimePoint
+PromptQuarantine::RefusedUntil(const Suspicion& aSuspicion,
+                               bool aIsOnlyOne) const
+{
+  // A part that is one of several suspects is probably sound, and a request
+  // that has none of the others shows it.
+  const bool mayTry = aIsOnlyOne && !IsSoleSuspect(aSuspicion);
+  return mayTry ? aSuspicion.mTrialUntil
+                : std::max(aSuspicion.mTrialUntil, aSuspicion.mRefusedUntil);
+}
+
+Notices
+PromptQuarantine::RecordSent(const std::vector<PromptPart>& aParts)
+{
+  Notices notices;
+  if (mSuspicions.empty()) {
+    return notices;
+  }
+  const auto now = mClock.Now();
+  for (const PromptPart part : aParts) {
+    const auto it = mSuspicions.find(part);
+    if (it == mSuspicions.end()) {
+      continue;
+    }
+    Suspicion& suspicion = it->second;
+    suspicion.mTrialUntil = now + kTrialTime;
+    suspicion.mRefusedUntil =
+      std::max(suspicion.mRefusedUntil, suspicion.mTrialUntil);
+    notices.push_back(NoticeOf(part, suspicion));
+  }
+  return notices;
+}
+
+Notices
+PromptQuarantine::RecordSound(const std::vector<PromptPart>& aParts)
+{
+  Notices notices;
+  for (const PromptPart part : aParts) {
+    mSound.Add(part);
+    const auto it = mSuspicions.find(part);
+    if (it == mSuspicions.end()) {
+      continue;
+    }
+    notices.push_back(
+      { .mKind = NoticeKind::Sound, .mPart = part, .mCrashes = {} });
+    mSuspicions.erase(it);
+  }
+  return notices;
+}
+
+Notices
+PromptQuarantine::RecordCrash(const std::vector<PromptPart>& aParts,
+                              const EndpointLife& aEndpoint)
+{
+  Notices notices;
+  const auto now = mClock.Now();
+  for (const PromptPart part : aParts) {
+    if (mSound.Contains(part) || IsWithdrawn(aEndpoint)) {
+      continue;
+    }
+    Suspicion& suspicion = mSuspicions[part];
+    if (!suspicion.mCrashes.insert(aEndpoint).second) {
+      continue;
+    }
+    if (suspicion.mCrashes.size() > kMaxCrashes) {
+      suspicion.mCrashes.erase(suspicion.mCrashes.begin());
+    }
+    suspicion.mCrashedAt = now;
+    const auto time = RefusalTime(suspicion.mCrashes.size());
+    std::uniform_real_distribution<double> spread(1, 1 + kRefusalTimeSpread);
+    suspicion.mRefusedUntil =
+      now + duration_cast<milliseconds>(time * spread(mRandom));
+    suspicion.mTrialUntil = {};
+    notices.push_back(NoticeOf(part, suspicion));
+    RemoveOldest();
+  }
+  return notices;
+}
+
+Notices
+PromptQuarantine::RecordAlive(const EndpointLife& aEndpoint,
+                              global::TimePoint aSentAt)
+{
+  const auto now = mClock.Now();
+  const bool isAlive = std::any_of(
+    mSuspicions.begin(), mSuspicions.end(), [&](const auto& aSuspicion) {
+      const auto crashedAt = aSuspicion.second.mCrashedAt;
+      return aSuspicion.second.mCrashes.contains(aEndpoint) &&
+             now > crashedAt + kReadDelay &&
+             aSentAt < crashedAt + kMinRestartTime;
+    });
+  return isAlive ? Withdraw(aEndpoint) : Notices();
+}
+
+Notices
+PromptQuarantine::Withdraw(const EndpointLife& aCrash)
+{
+  Notices notices;
+  if (!IsWithdrawn(aCrash)) {
+    mWithdrawn.push_back(aCrash);
+  }
+  if (mWithdrawn.size() > kMaxWithdrawn) {
+    mWithdrawn.pop_front();
+  }
+  for (auto it = mSuspicions.begin(); it != mSuspicions.end();) {
+    auto& [part, suspicion] = *it;
+    if (suspicion.mCrashes.erase(aCrash) > 0) {
+      notices.push_back({ .mKind = NoticeKind::Withdrawn,
+                          .mPart = part,
+                          .mCrashes = { aCrash } });
+    }
+    it = suspicion.mCrashes.empty() ? mSuspicions.erase(it) : std::next(it);
+  }
+  return notices;
+}
+
+Notices
+PromptQuarantine::Apply(const Notice& aNotice)
+{
+  switch (aNotice.mKind) {
+    case NoticeKind::Sound:
+      mSound.Add(aNotice.mPart);
+      mSuspicions.erase(aNotice.mPart);
+      return {};
+    case NoticeKind::Withdrawn:
+      for (const EndpointLife& crash : aNotice.mCrashes) {
+        Withdraw(crash);
+      }
+      return {};
+    case NoticeKind::Suspected:
+      return ApplySuspected(aNotice);
+  }
+  return {};
+}
+
+Notices
+PromptQuarantine::ApplySuspected(const Notice& aNotice)
+{
+  if (mSound.Contains(aNotice.mPart)) {
+    return {
+      { .mKind = NoticeKind::Sound, .mPart = aNotice.mPart, .mCrashes = {} }
+    };
+  }
+  Notices unknown;
+  std::set<EndpointLife> crashes;
+  for (const EndpointLife& crash : aNotice.mCrashes) {
+    if (IsWithdrawn(crash)) {
+      unknown.push_back({ .mKind = NoticeKind::Withdrawn,
+                          .mPart = aNotice.mPart,
+                          .mCrashes = { crash } });
+    } else if (crashes.size() < kMaxCrashes) {
+      crashes.insert(crash);
+    }
+  }
+  if (crashes.empty()) {
+    return unknown;
+  }
+  const auto now = mClock.Now();
+  Suspicion& suspicion = mSuspicions[aNotice.mPart];
+  suspicion.mCrashes.merge(crashes);
+  while (suspicion.mCrashes.size() > kMaxCrashes) {
+    suspicion.mCrashes.erase(suspicion.mCrashes.begin());
+  }
+  suspicion.mCrashedAt =
+    std::max(suspicion.mCrashedAt, now - Bounded(aNotice.mSinceCrash));
+  suspicion.mRefusedUntil =
+    std::max(suspicion.mRefusedUntil, now + Bounded(aNotice.mRefusalTime));
+  suspicion.mTrialUntil =
+    std::max(suspicion.mTrialUntil, now + Bounded(aNotice.mTrialTime));
+  RemoveOldest();
+  return unknown;
+}
+
+Notices
+PromptQuarantine::Suspected() const
+{
+  Notices notices;
+  for (const auto& [part, suspicion] : mSuspicions) {
+    notices.push_back(NoticeOf(part, suspicion));
+  }
+  std::sort(notices.begin(),
+            notices.end(),
+            [](const Notice& aLeft, const Notice& aRight) {
+              return aLeft.mSinceCrash < aRight.mSinceCrash;
+            });
+  notices.resize(std::min(notices.size(), kMaxNotices));
+  return notices;
+}
+
+Notice
+PromptQuarantine::NoticeOf(PromptPart aPart, const Suspicion& aSuspicion) const
+{
+  const auto now = mClock.Now();
+  const auto left = [&](global::TimePoint aUntil) {
+    return std::max(milliseconds(0), duration_cast<milliseconds>(aUntil - now));
+  };
+  return {
+    .mKind = NoticeKind::Suspected,
+    .mPart = aPart,
+    .mCrashes = { aSuspicion.mCrashes.begin(), aSuspicion.mCrashes.end() },
+    .mSinceCrash = duration_cast<milliseconds>(now - aSuspicion.mCrashedAt),
+    .mRefusalTime = left(aSuspicion.mRefusedUntil),
+    .mTrialTime = left(aSuspicion.mTrialUntil)
+  };
+}
+
+bool
+PromptQuarantine::IsWithdrawn(const EndpointLife& aCrash) const
+{
+  return std::find(mWithdrawn.begin(), mWithdrawn.end(), aCrash) !=
+         mWithdrawn.end();
+}
+
+void
+PromptQuarantine::RemoveOldest()
+{
+  if (mSuspicions.size() <= kMaxSuspicions) {
+    return;
+  }
+  mSuspicions.erase(std::min_element(mSuspicions.begin(),
+                                     mSuspicions.end(),
+                                     [](const auto& aLeft, auto& aRight) {
+                                       return aLeft.second.mCrashedAt <
+                                              aRight.second.mCrashedAt;
+                                     }));
+}
+
+}
--- /dev/null
+++ b/src/quarantine/promptquarantine.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "framework/global/iclock.h"
+#include "quarantine/soundparts.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace beryllever::quarantine {
+
+using std::chrono::milliseconds;
+
+/** One life of an endpoint, and so at most one crash. */
+struct EndpointLife
+{
+  std::string mEndpoint;
+  /** Start of the endpoint. */
+  int64_t mIncarnation = 0;
+
+  auto operator<=>(const EndpointLife&) const = default;
+};
+
+enum class NoticeKind
+{
+  /** An endpoint has crashed as it began to answer a request with the part. */
+  Suspected,
+  /** An answer to a request with the part was begun and went on. */
+  Sound,
+  /** The endpoint has not crashed. */
+  Withdrawn,
+};
+
+/** What gateways tell each other about a part. */
+struct Notice
+{
+  NoticeKind mKind = NoticeKind::Suspected;
+  PromptPart mPart = 0;
+  /** The crashes in question. */
+  std::vector<EndpointLife> mCrashes;
+  /** Time since the last crash; of suspected parts only, as are those below. */
+  milliseconds mSinceCrash{ 0 };
+  /** Time for which requests with the part are refused. */
+  milliseconds mRefusalTime{ 0 };
+  /** Time for which the outcome of a trial is awaited. */
+  milliseconds mTrialTime{ 0 };
+};
+
+using Notices = std::vector<Notice>;
+
+/** A request that is not to run now. */
+struct Refusal
+{
+  PromptPart mPart = 0;
+  milliseconds mRetryAfter{ 0 };
+};
+
+/**
+ * Finds parts of prompts that crash each endpoint that begins to answer a
+ * request with them, and says which requests may not run. A part is suspected
+ * when an endpoint breaks off a request before the first event, unless an
+ * answer with the part has been seen to go on; it is sound once one has. The
+ * notices that are returned are meant for all other gateways.
+ */
+class PromptQuarantine
+{
+public:
+  PromptQuarantine(const global::IClock& aClock, uint64_t aSeed);
+
+  /** Why a request with these parts is not to run, if so. */
+  std::optional<Refusal> FindRefusal(
+    const std::vector<PromptPart>& aParts) const;
+  /** Records that a request is about to be sent. If it has suspected parts, it
+   * is a trial, and others with them are refused until it has ended. */
+  Notices RecordSent(const std::vector<PromptPart>& aParts);
+  /** An answer to a request with these parts was begun and went on. */
+  Notices RecordSound(const std::vector<PromptPart>& aParts);
+  /** An endpoint broke off a request before its first event. */
+  Notices RecordCrash(const std::vector<PromptPart>& aParts,
+                      const EndpointLife& aEndpoint);
+  /** An endpoint sends data of an answer to a request sent at aSentAt. */
+  Notices RecordAlive(const EndpointLife& aEndpoint, global::TimePoint aSentAt);
+  /** Takes a notice of another gateway; returns what that one does not know. */
+  Notices Apply(const Notice& aNotice);
+  /** The suspected parts, for gateways that have not heard of them: those of
+   * the last crashes, bounded. */
+  Notices Suspected() const;
+
+private:
+  struct Suspicion
+  {
+    std::set<EndpointLife> mCrashes;
+    global::TimePoint mCrashedAt{};
+    /** Until then requests with the part are refused. */
+    global::TimePoint mRefusedUntil{};
+    /** Until then the outcome of a trial is awaited. */
+    global::TimePoint mTrialUntil{};
+  };
+
+  /** Whether the part alone explains its crash, or has explained several. */
+  bool IsSoleSuspect(const Suspicion& aSuspicion) const;
+  global::TimePoint RefusedUntil(const Suspicion& aSuspicion,
+                                 bool aIsOnlyOne) const;
+  Notice NoticeOf(PromptPart aPart, const Suspicion& aSuspicion) const;
+  bool IsWithdrawn(const EndpointLife& aCrash) const;
+  /** Drops a crash that was none from all suspicions. */
+  Notices Withdraw(const EndpointLife& aCrash);
+  void RemoveOldest();
+  Notices ApplySuspected(const Notice& aNotice);
+
+  const global::IClock& mClock;
+  mutable std::mt19937_64 mRandom;
+  SoundParts mSound;
+  std::map<PromptPart, Suspicion> mSuspicions;
+  /** Crashes that were none, the last ones. */
+  std::deque<EndpointLife> mWithdrawn;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/tests/promptquarantinetest.cpp
@@ -0,0 +1,217 @@
+#include "quarantine/promptquarantine.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace beryllever;
+using namespace beryllever::quarantine;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr PromptPart kDeadly = 0xdead;
+constexpr PromptPart kFirst = 1;
+constexpr PromptPart kOther = 2;
+
+const EndpointLife kEndpoint{ "rank-3", 100 };
+
+}
+
+TEST_GROUP(PromptQuarantine)
+{
+  global::ManualClock mClock;
+  PromptQuarantine mQuarantine{ mClock, 1 };
+  PromptQuarantine mPeer{ mClock, 2 };
+
+  bool IsRefused(const std::vector<PromptPart>& aParts) const
+  {
+    return mQuarantine.FindRefusal(aParts).has_value();
+  }
+
+  static void Tell(const Notices& aNotices, PromptQuarantine& aTo)
+  {
+    for (const Notice& notice : aNotices) {
+      aTo.Apply(notice);
+    }
+  }
+};
+
+TEST(PromptQuarantine, APartIsRefusedAfterItsFirstCrash)
+{
+  mQuarantine.RecordSound({ kFirst });
+
+  mQuarantine.RecordCrash({ kFirst, kDeadly }, kEndpoint);
+
+  const auto refusal = mQuarantine.FindRefusal({ kFirst, kDeadly });
+  CHECK(refusal.has_value());
+  CHECK_EQUAL(kDeadly, refusal->mPart);
+  CHECK(refusal->mRetryAfter > seconds(20));
+  CHECK_FALSE(IsRefused({ kFirst }));
+  CHECK_FALSE(IsRefused({}));
+}
+
+TEST(PromptQuarantine, APartThatWasSeenToBeSoundIsNotSuspectedAfterCrashes)
+{
+  mQuarantine.RecordSound({ kFirst, kOther });
+
+  for (int i = 0; i < 10; ++i) {
+    CHECK(mQuarantine.RecordCrash({ kFirst, kOther }, { "rank", i }).empty());
+  }
+
+  CHECK_FALSE(IsRefused({ kFirst, kOther }));
+}
+
+TEST(PromptQuarantine, AnAnswerThatGoesOnClearsItsParts)
+{
+  mQuarantine.RecordCrash({ kFirst, kDeadly }, kEndpoint);
+
+  const Notices notices = mQuarantine.RecordSound({ kFirst });
+
+  LONGS_EQUAL(1, notices.size());
+  CHECK(notices[0].mKind == NoticeKind::Sound);
+  CHECK_FALSE(IsRefused({ kFirst }));
+  CHECK(IsRefused({ kFirst, kDeadly }));
+}
+
+TEST(PromptQuarantine, APartThatAllRequestsHaveIsNotRefusedForLong)
+{
+  // Nothing is known to be sound, as after the start of all gateways.
+  mQuarantine.RecordCrash({ kFirst, kDeadly }, kEndpoint);
+  CHECK(IsRefused({ kFirst, kDeadly }));
+
+  // One request without the other suspect is tried, the others wait for it.
+  CHECK_FALSE(IsRefused({ kFirst }));
+  mQuarantine.RecordSent({ kFirst });
+  CHECK(IsRefused({ kFirst }));
+  mQuarantine.RecordSound({ kFirst });
+
+  CHECK_FALSE(IsRefused({ kFirst, kOther }));
+  CHECK(IsRefused({ kFirst, kDeadly }));
+}
+
+TEST(PromptQuarantine, OneTrialAtATimeAndRarelyWhileItCrashes)
+{
+  int trials = 0;
+  mQuarantine.RecordCrash({ kDeadly }, { "rank", 0 });
+  for (int i = 0; i < 3600 * 10; ++i) {
+    mClock.Advance(milliseconds(100));
+    if (IsRefused({ kDeadly })) {
+      continue;
+    }
+    mQuarantine.RecordSent({ kDeadly });
+    CHECK(IsRefused({ kDeadly }));
+    mQuarantine.RecordCrash({ kDeadly }, { "rank", ++trials });
+  }
+  CHECK(trials >= 5);
+  CHECK(trials <= 10);
+}
+
+TEST(PromptQuarantine, ATrialWithoutAnOutcomeIsFollowedByAnother)
+{
+  mQuarantine.RecordCrash({ kDeadly }, kEndpoint);
+  mClock.Advance(seconds(60));
+  CHECK_FALSE(IsRefused({ kDeadly }));
+  mQuarantine.RecordSent({ kDeadly });
+  CHECK(IsRefused({ kDeadly }));
+
+  mClock.Advance(seconds(3));
+
+  CHECK_FALSE(IsRefused({ kDeadly }));
+}
+
+TEST(PromptQuarantine, SeveralBreaksOfOneCrashCountOnce)
+{
+  mQuarantine.RecordCrash({ kDeadly }, kEndpoint);
+  CHECK(mQuarantine.RecordCrash({ kDeadly }, kEndpoint).empty());
+  mClock.Advance(seconds(40));
+  CHECK_FALSE(IsRefused({ kDeadly }));
+}
+
+TEST(PromptQuarantine, AnEndpointThatServesOnHasNotCrashed)
+{
+  const auto sentAt = mClock.Now();
+  Tell(mQuarantine.RecordCrash({ kOther }, kEndpoint), mPeer);
+  CHECK(IsRefused({ kOther }));
+  CHECK(mPeer.RecordAlive(kEndpoint, sentAt).empty());
+
+  mClock.Advance(milliseconds(500));
+  Tell(mPeer.RecordAlive(kEndpoint, sentAt), mQuarantine);
+
+  CHECK_FALSE(IsRefused({ kOther }));
+  // What is still on its way does not bring it back.
+  CHECK(mQuarantine.RecordCrash({ kOther }, kEndpoint).empty());
+  CHECK_FALSE(IsRefused({ kOther }));
+}
+
+TEST(PromptQuarantine, AnEndpointThatHasStartedAgainHasCrashed)
+{
+  mQuarantine.RecordCrash({ kDeadly }, kEndpoint);
+  mClock.Advance(seconds(4));
+  CHECK(mQuarantine.RecordAlive(kEndpoint, mClock.Now()).empty());
+  CHECK(mQuarantine.RecordAlive({ "rank-3", 200 }, mClock.Now() - seconds(5))
+          .empty());
+  CHECK(IsRefused({ kDeadly }));
+}
+
+TEST(PromptQuarantine, GatewaysKnowTogetherWhatEachHasSeen)
+{
+  mPeer.RecordSound({ kFirst });
+  Notices answers;
+  for (const Notice& notice :
+       mQuarantine.RecordCrash({ kFirst, kDeadly }, kEndpoint)) {
+    for (const Notice& answer : mPeer.Apply(notice)) {
+      answers.push_back(answer);
+    }
+  }
+  Tell(answers, mQuarantine);
+
+  for (const PromptQuarantine* gateway : { &mQuarantine, &mPeer }) {
+    CHECK(gateway->FindRefusal({ kFirst, kDeadly }).has_value());
+    CHECK_FALSE(gateway->FindRefusal({ kFirst }).has_value());
+  }
+}
+
+TEST(PromptQuarantine, ARestartedGatewayLearnsFromItsPeers)
+{
+  mQuarantine.RecordCrash({ kDeadly }, kEndpoint);
+  mClock.Advance(seconds(5));
+
+  Tell(mQuarantine.Suspected(), mPeer);
+
+  const auto refusal = mPeer.FindRefusal({ kDeadly });
+  CHECK(refusal.has_value());
+  CHECK(refusal->mRetryAfter < seconds(35));
+}
+
+TEST(PromptQuarantine, CrashesSeenByTwoGatewaysAddUp)
+{
+  Tell(mPeer.RecordCrash({ kDeadly }, { "rank-1", 1 }), mQuarantine);
+  const Notices second =
+    mQuarantine.RecordCrash({ kDeadly, kOther }, { "rank-2", 1 });
+  // Telling it often changes nothing.
+  for (int i = 0; i < 10; ++i) {
+    Tell(second, mPeer);
+    Tell(mPeer.Suspected(), mQuarantine);
+  }
+  mClock.Advance(seconds(60));
+  CHECK(IsRefused({ kDeadly }));
+  CHECK_FALSE(IsRefused({ kOther }));
+}
+
+TEST(PromptQuarantine, WhatIsRememberedIsBounded)
+{
+  for (PromptPart part = 0; part < 100000; ++part) {
+    mQuarantine.RecordCrash({ part }, { "rank", static_cast<int64_t>(part) });
+    mClock.Advance(milliseconds(1));
+  }
+  CHECK(mQuarantine.Suspected().size() <= 64);
+  CHECK_FALSE(IsRefused({ 1 }));
+  CHECK(IsRefused({ 99999 }));
+
+  SoundParts sound(3);
+  for (const PromptPart part : { 1, 2, 3, 1, 4 }) {
+    sound.Add(part);
+  }
+  LONGS_EQUAL(3, sound.Size());
+  CHECK(sound.Contains(1));
+  CHECK_FALSE(sound.Contains(2));
+}
