Refuse requests with parts of prompts that crash endpoints

Callers saw two thirds of all streams lost while one part of a prompt crashed each worker that began to answer it: the whole lock-step group is away for some 3 s, and the next request with the part crashed it again, 5 to 7 times in 22 s.

Cause: the gateway repeated a request that had crashed its endpoint elsewhere, and knew nothing that the next one had in common with it.

Now the gateway notes breaks before the first event for the quarantine, unless the head is over 1 s old (a stalled group breaks off then), clears parts with the second piece of an answer or its end, and refuses what has a suspected part at once with 503 and the time of the next trial; with 502 if the request may have run.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -48,6 +48,11 @@
 constexpr int kRetryAfterDivisor = 3;
 /** Delay before a retry while the gateway has no configuration. */
 constexpr milliseconds kRetryAfterUnconfigured{ 700 };
+/** Longest time from the head of a response to its first event. A group that
+ * stalls breaks off its responses after a longer time. */
+constexpr milliseconds kMaxBeginTime{ 1000 };
+/** Parts of a response after which its endpoint does not crash as it begins. */
+constexpr int kSoundParts = 2;
 /** Requests that may be queued in one gateway. */
 constexpr size_t kMaxQueuedRequests = 64;
 
@@ -130,6 +135,12 @@
   if (mIsFinished) {
     return;
   }
+  if (const auto refusal = mContext.mPromptGuard.FindRefusal(mMetadata)) {
+    mContext.mPromptGuard.RecordRefusal(mMetadata, *refusal);
+    FailRequest("a part of the prompt is suspected to crash endpoints",
+                refusal->mRetryAfter);
+    return;
+  }
   const PlacementRequest request{ mPool,
                                   mContext.mAvailabilityZone,
                                   mTriedEndpoints };
@@ -165,7 +176,8 @@
 }
 
 void
-Exchange::FailRequest(const std::string& aReason)
+Exchange::FailRequest(const std::string& aReason,
+                      std::optional<milliseconds> aRetryAfter)
 {
   if (mResponse.HasBegun()) {
     AbortResponse(aReason);
@@ -175,7 +187,7 @@
     RespondLocally(502, aReason);
     return;
   }
-  RespondLocally(503, aReason, RetryAfter());
+  RespondLocally(503, aReason, aRetryAfter.value_or(RetryAfter()));
 }
 
 void
@@ -188,6 +200,7 @@
   mTriedEndpoints.insert(aEndpoint.mId);
   ++mAttempts;
   mContext.mBalancer.RecordSent(aEndpoint.mId);
+  mContext.mPromptGuard.RecordSent(mMetadata, aEndpoint);
   mAttempt->mLease = mContext.mConnections.Acquire(
     aEndpoint, !mAdmission.mRoute->IsRepeatable());
   mAttemptTimer.start(kConnectTimeout);
@@ -246,6 +259,7 @@
 Exchange::HandleHead(const net::AnswerHead& aHead)
 {
   mAttempt->mHead = aHead;
+  mAttempt->mHeadAt = mContext.mClock.Now();
   mAttempt->mMetadata = mContext.mCodec.ParseResponse(aHead);
   mAttempt->mBody.clear();
   const ResponseMetadata& metadata = mAttempt->mMetadata;
@@ -283,6 +297,7 @@
     }
     return;
   }
+  mContext.mPromptGuard.RecordAlive(mAttempt->mEndpoint, mAttempt->mSentAt);
   if (mAttempt->mIsForwarded) {
     ForwardBody(aBytes);
     return;
@@ -337,6 +352,9 @@
     case ForwardResult::Forwarded:
       break;
   }
+  if (mResponse.AttemptParts() == kSoundParts) {
+    mContext.mPromptGuard.RecordSound(mMetadata);
+  }
   if (mResponse.IsCallerBehind()) {
     mAttempt->mLease.mConnection->SetReading(false);
   }
@@ -381,10 +399,23 @@
     HandleComplete();
     return;
   }
+  RecordBreak();
   HandleBrokenAttempt(std::string("response ended: ") +
                       std::string(net::NameOf(aEnd)));
 }
 
+void
+Exchange::RecordBreak()
+{
+  const bool hasBegun = mAttempt->mIsForwarded && mResponse.AttemptParts() > 0;
+  const bool wasStalled =
+    mAttempt->mHead &&
+    mContext.mClock.Now() - mAttempt->mHeadAt > kMaxBeginTime;
+  if (!hasBegun && !wasStalled) {
+    mContext.mPromptGuard.RecordBreak(mMetadata, mAttempt->mEndpoint);
+  }
+}
+
 void
 Exchange::HandleComplete()
 {
@@ -406,6 +437,9 @@
                   " for a resumed stream");
     return;
   }
+  if (status / 100 == 2) {
+    mContext.mPromptGuard.RecordSound(mMetadata);
+  }
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
   const std::string body = std::move(mAttempt->mBody);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -44,6 +44,7 @@
     size_t mDiscardedBytes = 0;
     bool mIsForwarded = false;
     global::TimePoint mSentAt{};
+    global::TimePoint mHeadAt{};
   };
 
   /** Looks up the route and selects a pool. If the request may not be served,
@@ -56,7 +57,11 @@
   /** Ends a request that no further endpoint will get: aborts a response that
    * has begun, or else responds with 502 if an ended attempt may have run the
    * request and with 503 if not. */
-  void FailRequest(const std::string& aReason);
+  void FailRequest(const std::string& aReason,
+                   std::optional<milliseconds> aRetryAfter = {});
+  /** Notes for the quarantine of prompt parts that the endpoint's connection
+   * has ended. */
+  void RecordBreak();
 
   void Send(const published::Endpoint& aEndpoint);
   std::string SerializeRequest(const published::Endpoint& aEndpoint) const;
--- a/src/gateway/internal/responseforwarder.cpp
+++ b/src/gateway/internal/responseforwarder.cpp
@@ -30,6 +30,7 @@
 ResponseForwarder::Begin(const net::AnswerHead& aHead)
 {
   mLastForward = mClock.Now();
+  mAttemptParts = 0;
   if (HasBegun()) {
     return;
   }
@@ -82,6 +83,7 @@
       std::max(mLongestPause, duration_cast<milliseconds>(now - mLastForward));
   }
   mHasBody = true;
+  ++mAttemptParts;
   mLastForward = now;
 }
 
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -55,6 +55,8 @@
   }
   /** When the head or data was last forwarded. */
   global::TimePoint LastForward() const { return mLastForward; }
+  /** Parts of the body that the current attempt has contributed. */
+  int AttemptParts() const { return mAttemptParts; }
   /** Longest time between two parts of the body. */
   milliseconds LongestPause() const { return mLongestPause; }
   /** Whether the caller reads so slowly that no more data should be read from
@@ -71,6 +73,7 @@
   EventAssembler mEvents;
   bool mIsEventStream = false;
   bool mHasBody = false;
+  int mAttemptParts = 0;
   unsigned mStatus = 0;
   std::optional<milliseconds> mTimeToFirstByte;
   global::TimePoint mLastForward{};
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -29,6 +29,7 @@
                                             0))
   , mBalancer(aClock, global::RandomIdentifier())
   , mConnections(aClock)
+  , mPromptGuard(aClock, aMetrics, global::RandomIdentifier())
   , mRandom(global::RandomIdentifier())
 {
   mWakeTimer.setSingleShot(true);
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -3,6 +3,7 @@
 #include "framework/metrics/metrics.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
+#include "gateway/internal/promptguard.h"
 #include "gateway/poolretrybudget.h"
 #include "gateway/requestcodec.h"
 #include "gateway/sitelimits.h"
@@ -42,6 +43,7 @@
   std::shared_ptr<const published::Snapshot> mSnapshot;
   EndpointBalancer mBalancer;
   EndpointConnections mConnections;
+  PromptGuard mPromptGuard;
   std::mt19937_64 mRandom;
   bool mIsDraining = false;
 
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -32,6 +32,7 @@
     [&] {
       mCore = std::make_unique<TrafficCore>(
         mClock, mCodec, mMetrics, mAvailabilityZone, mOpenRequests);
+      mCore->Context().mPromptGuard.SetAnnounce(mAnnounceParts);
       isListening = mCore->Listen(aAddress);
     },
     Qt::BlockingQueuedConnection);
@@ -77,6 +78,14 @@
   });
 }
 
+void
+TrafficServer::ApplyPartNotices(const quarantine::Notices& aNotices)
+{
+  transport::Post(&mContext, [this, aNotices] {
+    mCore->Context().mPromptGuard.Apply(aNotices);
+  });
+}
+
 void
 TrafficServer::StopAccepting()
 {
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -5,6 +5,7 @@
 #include "gateway/requestcodec.h"
 #include "gateway/sitelimits.h"
 #include "published/snapshot.h"
+#include "quarantine/promptquarantine.h"
 
 #include <QObject>
 #include <QThread>
@@ -43,6 +44,15 @@
                   int aRequests,
                   bool aIsOpen,
                   double aSlowdown);
+  /** Sets who tells the other gateways about parts of prompts; called on the
+   * traffic thread. Before Start. */
+  void SetAnnounceParts(
+    std::function<void(const quarantine::Notices&)> aAnnounce)
+  {
+    mAnnounceParts = std::move(aAnnounce);
+  }
+  /** Takes what other gateways tell about parts of prompts. */
+  void ApplyPartNotices(const quarantine::Notices& aNotices);
   /** Adds "Connection: close" to responses that begin from now on. */
   void BeginDraining();
   /** Accepts no more requests; requests in progress are completed. */
@@ -55,6 +65,7 @@
   const IRequestCodec& mCodec;
   metrics::Metrics& mMetrics;
   const std::string mAvailabilityZone;
+  std::function<void(const quarantine::Notices&)> mAnnounceParts;
   QThread mThread;
   QObject mContext;
   std::unique_ptr<TrafficCore> mCore;
