Tell all gateways of suspected parts of prompts at once

Each gateway sees one request in six that a deadly part is in, so each would pay for its own crash. A gateway now tells all others at once what it suspects, has seen to be sound or takes back; they answer what they know better.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -3,6 +3,7 @@
 #include "framework/global/identifiers.h"
 #include "framework/log/log.h"
 #include "mesh/gossipplan.h"
+#include "transport/post.h"
 
 #include <algorithm>
 #include <stdexcept>
@@ -60,6 +61,7 @@
   , mDependencies(std::move(aDependencies))
   , mState(*mDependencies.mRecords, aClock)
   , mMesh(aClock, SelfMember(aSettings), aSettings.Seeds(), aMetrics)
+  , mSuspectedParts(aClock, global::RandomIdentifier())
   , mTraffic(aClock,
              *mDependencies.mRequests,
              aMetrics,
@@ -70,6 +72,9 @@
                [this](const auto& aRequest) { return AddressPage(aRequest); })
 {
   mMesh.SetListener(*this);
+  mTraffic.SetAnnounceParts([this](const quarantine::Notices& aNotices) {
+    transport::Post(&mMesh, [this, aNotices] { AnnounceParts(aNotices); });
+  });
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
 }
 
@@ -299,6 +304,30 @@
                       aLoad.mPace);
 }
 
+void
+GatewayNode::AnnounceParts(const quarantine::Notices& aNotices)
+{
+  for (const quarantine::Notice& notice : aNotices) {
+    mSuspectedParts.Apply(notice);
+  }
+  mMesh.AnnounceParts(aNotices);
+}
+
+quarantine::Notices
+GatewayNode::SuspectedParts() const
+{
+  return mSuspectedParts.Suspected();
+}
+
+void
+GatewayNode::HandlePartNotices(const quarantine::Notices& aNotices)
+{
+  for (const quarantine::Notice& notice : aNotices) {
+    mSuspectedParts.Apply(notice);
+  }
+  mTraffic.ApplyPartNotices(aNotices);
+}
+
 void
 GatewayNode::UpdateSnapshot()
 {
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -61,6 +61,8 @@
   void HandleRecords(const mesh::RecordBatch& aBatch) override;
   void HandleMembers() override;
   void HandleLoad(const mesh::EndpointLoad& aLoad) override;
+  quarantine::Notices SuspectedParts() const override;
+  void HandlePartNotices(const quarantine::Notices& aNotices) override;
 
 private:
   PageResponse ReadinessPage(const net::ServerRequest& aRequest) const;
@@ -68,6 +70,8 @@
   /** The gateways that share the limits of the site. */
   GatewayFleet Fleet();
   void ApplyLimits();
+  /** Tells the other gateways what the traffic thread has found out. */
+  void AnnounceParts(const quarantine::Notices& aNotices);
   /** Passes the current snapshot on to the traffic server and calls
    * UpdateServing. */
   void UpdateSnapshot();
@@ -88,6 +92,8 @@
   GatewayDependencies mDependencies;
   published::PublishedState mState;
   mesh::MeshNode mMesh;
+  /** What the traffic thread knows of suspected parts, to tell it to peers. */
+  quarantine::PromptQuarantine mSuspectedParts;
   TrafficServer mTraffic;
   PageServer mReadiness;
   PageServer mDirectory;
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -116,6 +116,15 @@
   }
 }
 
+void
+MeshNode::AnnounceParts(const quarantine::Notices& aNotices)
+{
+  for (const Member& member : mMembers.AliveWithRole(kGatewayRole)) {
+    mIsCallPending[member.mPeerAddress] = false;
+    GossipWith(member.mPeerAddress, { .mPartNotices = aNotices });
+  }
+}
+
 void
 MeshNode::Tick()
 {
@@ -233,7 +242,9 @@
     for (const Member& member : mMembers.AliveWithRole(kGatewayRole)) {
       ToMessage(member, *request.add_members());
     }
+    ToMessage(mListener->SuspectedParts(), *request.mutable_part_notices());
   }
+  ToMessage(aGossip.mPartNotices, *request.mutable_part_notices());
   for (const Member& agent : aGossip.mRelayed) {
     ToMessage(agent, *request.add_members());
   }
@@ -255,6 +266,7 @@
         return;
       }
       MergeMembers(aReply.members());
+      HandlePartNotices(aReply.part_notices());
     });
 }
 
@@ -263,6 +275,7 @@
                        v1::GossipReply& aReply)
 {
   MergeMembers(aRequest.members());
+  HandlePartNotices(aRequest.part_notices());
   const bool isGateway =
     aRequest.members_size() > 0 && aRequest.members(0).role() == kGatewayRole;
   if (!isGateway && aRequest.members_size() > 0 &&
@@ -278,6 +291,9 @@
     return;
   }
   ToMessage(mMembers.Self(), *aReply.add_members());
+  if (isGateway) {
+    ToMessage(mListener->SuspectedParts(), *aReply.mutable_part_notices());
+  }
   // Rank agents are left out of the reply to a gateway, which learns of them by
   // their own reports and by relay.
   for (const Member& member : mMembers.Alive()) {
@@ -313,6 +329,16 @@
   }
 }
 
+void
+MeshNode::HandlePartNotices(
+  const google::protobuf::RepeatedPtrField<v1::PartNotice>& aNotices)
+{
+  if (aNotices.empty()) {
+    return;
+  }
+  mListener->HandlePartNotices(FromMessage(aNotices));
+}
+
 void
 MeshNode::FetchIfBehind()
 {
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -1,11 +1,18 @@
 #include "mesh/internal/messages.h"
 
+#include <algorithm>
+
 namespace beryllever::mesh {
 
 namespace {
 
 using std::chrono::milliseconds;
 
+/** Notices on parts of prompts that are taken from one message. */
+constexpr size_t kMaxNotices = 128;
+/** Crashes that are taken from one notice. */
+constexpr int kMaxCrashes = 8;
+
 StoreAccess
 StoreAccessFromNumber(int aNumber)
 {
@@ -14,6 +21,35 @@
   return isKnown ? static_cast<StoreAccess>(aNumber) : StoreAccess::None;
 }
 
+v1::PartNotice::Kind
+ToMessage(quarantine::NoticeKind aKind)
+{
+  switch (aKind) {
+    case quarantine::NoticeKind::Suspected:
+      return v1::PartNotice::SUSPECTED;
+    case quarantine::NoticeKind::Sound:
+      return v1::PartNotice::SOUND;
+    case quarantine::NoticeKind::Withdrawn:
+      return v1::PartNotice::WITHDRAWN;
+  }
+  return v1::PartNotice::UNKNOWN;
+}
+
+std::optional<quarantine::NoticeKind>
+KindFromMessage(v1::PartNotice::Kind aKind)
+{
+  switch (aKind) {
+    case v1::PartNotice::SUSPECTED:
+      return quarantine::NoticeKind::Suspected;
+    case v1::PartNotice::SOUND:
+      return quarantine::NoticeKind::Sound;
+    case v1::PartNotice::WITHDRAWN:
+      return quarantine::NoticeKind::Withdrawn;
+    default:
+      return std::nullopt;
+  }
+}
+
 }
 
 void
@@ -71,6 +107,50 @@
   return member;
 }
 
+void
+ToMessage(const quarantine::Notices& aNotices, PartNotices& aMessages)
+{
+  for (const quarantine::Notice& notice : aNotices) {
+    v1::PartNotice& message = *aMessages.Add();
+    message.set_kind(ToMessage(notice.mKind));
+    message.set_part(notice.mPart);
+    for (const quarantine::EndpointLife& crash : notice.mCrashes) {
+      v1::EndpointLife& life = *message.add_crashes();
+      life.set_endpoint(crash.mEndpoint);
+      life.set_incarnation(crash.mIncarnation);
+    }
+    message.set_since_crash_milliseconds(notice.mSinceCrash.count());
+    message.set_refusal_milliseconds(notice.mRefusalTime.count());
+    message.set_trial_milliseconds(notice.mTrialTime.count());
+  }
+}
+
+quarantine::Notices
+FromMessage(const PartNotices& aMessages)
+{
+  quarantine::Notices notices;
+  for (const v1::PartNotice& message : aMessages) {
+    const auto kind = KindFromMessage(message.kind());
+    if (!kind || notices.size() >= kMaxNotices) {
+      continue;
+    }
+    quarantine::Notice notice{
+      .mKind = *kind,
+      .mPart = message.part(),
+      .mCrashes = {},
+      .mSinceCrash = milliseconds(message.since_crash_milliseconds()),
+      .mRefusalTime = milliseconds(message.refusal_milliseconds()),
+      .mTrialTime = milliseconds(message.trial_milliseconds())
+    };
+    for (int i = 0; i < std::min(message.crashes_size(), kMaxCrashes); ++i) {
+      notice.mCrashes.push_back(
+        { message.crashes(i).endpoint(), message.crashes(i).incarnation() });
+    }
+    notices.push_back(std::move(notice));
+  }
+  return notices;
+}
+
 void
 ToMessage(const RecordBatch& aBatch,
           global::TimePoint aNow,
--- a/src/mesh/internal/messages.h
+++ b/src/mesh/internal/messages.h
@@ -10,6 +10,14 @@
 Member
 FromMessage(const v1::Member& aMessage);
 
+using PartNotices = google::protobuf::RepeatedPtrField<v1::PartNotice>;
+
+void
+ToMessage(const quarantine::Notices& aNotices, PartNotices& aMessages);
+/** Leaves out notices of an unknown kind and those beyond a bound. */
+quarantine::Notices
+FromMessage(const PartNotices& aMessages);
+
 void
 ToMessage(const RecordBatch& aBatch,
           global::TimePoint aNow,
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -3,6 +3,7 @@
 #include "framework/metrics/metrics.h"
 #include "mesh.grpc.pb.h"
 #include "mesh/membertable.h"
+#include "quarantine/promptquarantine.h"
 
 #include <QObject>
 #include <QTimer>
@@ -30,6 +31,9 @@
    * serve callers. */
   virtual void HandleMembers() = 0;
   virtual void HandleLoad(const EndpointLoad& aLoad) = 0;
+  /** What this process knows of suspected parts of prompts. */
+  virtual quarantine::Notices SuspectedParts() const { return {}; }
+  virtual void HandlePartNotices(const quarantine::Notices&) {}
 };
 
 /**
@@ -57,6 +61,9 @@
    * read the store. */
   void AnnounceRevision();
 
+  /** Tells all live gateways at once about parts of prompts. */
+  void AnnounceParts(const quarantine::Notices& aNotices);
+
   MemberTable& Members() { return mMembers; }
   const MemberTable& Members() const { return mMembers; }
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& aAddress);
@@ -72,6 +79,7 @@
     bool mWantsMembers = false;
     /** Rank agents that do not report to the peer directly. */
     std::vector<Member> mRelayed;
+    quarantine::Notices mPartNotices;
   };
 
   void Tick();
@@ -84,6 +92,8 @@
   void GossipWith(const std::string& aAddress, const Gossip& aGossip);
   void MergeMembers(
     const google::protobuf::RepeatedPtrField<v1::Member>& aMembers);
+  void HandlePartNotices(
+    const google::protobuf::RepeatedPtrField<v1::PartNotice>& aNotices);
   void FetchIfBehind();
   void DropUnusedChannels();
 
