Take a stream that ends inside an event for broken off

A response without a length and without chunks ends with its connection. If the connection was closed in good order in the middle of an event, or chunks ended there, callers got the piece of the event and a stream that looked complete.

Cause: the gateway took the end of the framing for the end of the stream and passed the remainder on. Now bytes of an event that has not ended make it a broken attempt: resumed elsewhere after the last whole event where the route allows it, cut where not. Orderly ends between events stay complete, resets stay broken.

platform_test, group UnframedResponse: 7 tests. Before, these 3 failed: AStreamThatEndsInsideAnEventIsNotComplete, AStreamThatEndsInsideAnEventIsResumed, AChunkedStreamThatEndsInsideAnEventIsNotComplete; the others guard what held already.

--- a/src/gateway/eventassembler.h
+++ b/src/gateway/eventassembler.h
@@ -19,9 +19,15 @@
    * unchanged. After a resumption, leaves out the events whose numeric id is
    * not above LastId(). */
   std::string Append(std::string_view aBytes);
-  /** Returns the bytes after the last complete event, for the end of a stream.
-   */
+  /** Returns the line ends after the last complete event, for the end of a
+   * stream. */
   std::string TakeRemainder();
+  /** Whether the bytes received last belong to an event that is not complete.
+   */
+  bool IsInsideEvent() const
+  {
+    return mBuffer.find_first_not_of("\r\n") != std::string::npos;
+  }
   /** Discards a partial event; another endpoint continues after LastId(). */
   void BeginResumption();
   /** Bytes of the event that is not complete yet. */
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -395,6 +395,12 @@
     HandleNotExecuted();
     return;
   }
+  if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsForwarded &&
+      mResponse.IsInsideEvent()) {
+    RecordBreak();
+    HandleBrokenAttempt("stream ended inside an event");
+    return;
+  }
   if (aEnd == net::AnswerEnd::Complete) {
     HandleComplete();
     return;
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -45,6 +45,11 @@
    */
   void BeginResumption() { mEvents.BeginResumption(); }
   void End();
+  /** Whether a stream that ended now would have been broken off. */
+  bool IsInsideEvent() const
+  {
+    return mIsEventStream && mEvents.IsInsideEvent();
+  }
 
   /** Status of the response; 0 if it has not begun. */
   unsigned Status() const { return mStatus; }
