--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -4,6 +4,7 @@
 #include "mesh.grpc.pb.h"
 #include "mesh/fetchplan.h"
 #include "mesh/membertable.h"
+#include "quarantine/promptquarantine.h"
 
 #include <QObject>
 #include <QTimer>
@@ -31,6 +32,9 @@
    * serve callers. */
   virtual void HandleMembers() = 0;
   virtual void HandleLoad(const EndpointLoad& aLoad) = 0;
+  /** What this process knows of suspected parts of prompts. */
+  virtual quarantine::Notices SuspectedParts() const { return {}; }
+  virtual void HandlePartNotices(const quarantine::Notices&) {}
 };
 
 /**
@@ -58,6 +62,9 @@
    * from the store. */
   void AnnounceRevision();
 
+  /** Tells all live gateways at once about parts of prompts. */
+  void AnnounceParts(const quarantine::Notices& aNotices);
+
   MemberTable& Members() { return mMembers; }
   const MemberTable& Members() const { return mMembers; }
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& aAddress);
@@ -73,6 +80,7 @@
     bool mWantsMembers = false;
     /** Rank agents that do not report to the peer directly. */
     std::vector<Member> mRelayed;
+    quarantine::Notices mPartNotices;
   };
 
   void Tick();
@@ -85,6 +93,8 @@
   void GossipWith(const std::string& aAddress, const Gossip& aGossip);
   void MergeMembers(
     const google::protobuf::RepeatedPtrField<v1::Member>& aMembers);
+  void HandlePartNotices(
+    const google::protobuf::RepeatedPtrField<v1::PartNotice>& aNotices);
   /** Fetches published items if a peer has any that this process lacks. */
   void FetchIfBehind();
   std::vector<FetchSource> SourcesAhead();
