Send nothing new to an endpoint that says it leaves

Callers' requests went on to an endpoint that said in its responses that it leaves, for as long as the store listed it as ready: while the store was away, until the endpoint ended under them.

Cause: gateways learned of a leaving endpoint from the store alone; the header field was read nowhere.

The platform's codec now decodes the field. EndpointAvailability keeps what an endpoint has said for its incarnation (id and start time): no time and no record of the store, older or newer, ends it, a new incarnation does. The balancer's Choose, through which every attempt goes (first ones, waiting requests, retries, resumed streams, kept connections), leaves such endpoints out. What runs there runs on. A response that says it is from another endpoint at the address is not taken as this one's word.

Limit: the start time is the one the store has listed. Where an endpoint has started again under its id, the gateway does not know this yet, and the new incarnation says that it leaves, the record that arrives afterwards looks like yet another start; the next response corrects it.

Evidence: without the call in Exchange::HandleHead, 6 of the 7 tests of LeavingEndpoint fail (the endpoint got 5 of 5 further requests while it was listed as ready, 3 of 3 while the store was away, and the waiting requests); the seventh guards against taking another endpoint's word. With it, platform_test: 43 tests pass, gateway_test: 21.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/endpointavailability.h"
 #include "gateway/gatewayfleet.h"
 #include "published/snapshot.h"
 
@@ -97,6 +98,8 @@
   void RecordSent(const std::string& aEndpoint);
   void RecordOutcome(const std::string& aEndpoint, EndpointOutcome aOutcome);
   int Outstanding(const std::string& aEndpoint) const;
+  /** What endpoints have said about taking requests; Choose respects it. */
+  EndpointAvailability& Availability() { return mAvailability; }
 
 private:
   struct EndpointStats
@@ -143,6 +146,7 @@
   /** Rank of this gateway among all for each endpoint, computed on demand. */
   mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
+  EndpointAvailability mAvailability;
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -35,6 +35,7 @@
 EndpointBalancer::EndpointBalancer(const global::IClock& aClock, uint64_t aSeed)
   : mClock(aClock)
   , mRandom(aSeed)
+  , mAvailability(aClock)
 {
 }
 
@@ -64,6 +65,7 @@
   std::erase_if(mFleetRanks, [&](const auto& aRank) {
     return aSnapshot.FindEndpoint(aRank.first) == nullptr;
   });
+  mAvailability.RemoveMissing(aSnapshot);
 }
 
 Placement
@@ -78,7 +80,8 @@
   bool hasUntried = false;
   for (const published::Endpoint* endpoint :
        aSnapshot.UsableEndpoints(aRequest.mPool)) {
-    if (aRequest.mTriedEndpoints.contains(endpoint->mId)) {
+    if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
+        mAvailability.IsLeaving(*endpoint)) {
       continue;
     }
     hasUntried = true;
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/exchange.h"
 
 #include "framework/log/log.h"
+#include "gateway/internal/endpointstatements.h"
 #include "gateway/internal/headerfields.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -249,6 +250,7 @@
   mAttempt->mMetadata = mContext.mCodec.ParseResponse(aHead);
   mAttempt->mBody.clear();
   const ResponseMetadata& metadata = mAttempt->mMetadata;
+  RecordStatements(mContext, mAttempt->mEndpoint, aHead.mStatus, metadata);
   mAttempt->mIsMismatched =
     !metadata.mRequestId.empty() && metadata.mRequestId != mMetadata.mRequestId;
   if (mAttempt->mIsMismatched || metadata.mIsNotExecuted) {
--- a/src/gateway/requestcodec.h
+++ b/src/gateway/requestcodec.h
@@ -49,6 +49,8 @@
   bool mIsNotExecuted = false;
   /** A different endpoint is listening at the address. */
   bool mIsMisdirected = false;
+  /** The endpoint is leaving and takes no new requests. */
+  bool mIsLeaving = false;
   /** Endpoint at which the request failed, if the response names one. */
   std::string mFaultyEndpoint;
   /** Idle timeout of the connection, if stated. */
