Respect the pause that an endpoint asks for

An endpoint that turned requests away with 503 and Retry-After got more of them at once: from bursts, from requests that waited, from other callers' retries. Callers of a pool that paused as a whole were told to return after some 0.4 s, again and again, each time for two refusals.

Cause: Retry-After of an endpoint was read nowhere; its 503 counted as any refusal, which only makes another endpoint more likely.

The codec reads seconds, fractions and dates. EndpointAvailability keeps the deadline for the incarnation (the latest one if several are stated); the balancer leaves the endpoint out until then. Negative and unreadable values are logged and ask for no pause, more than 60 s is logged and bounded. Where the endpoints that are left all pause, the request is rejected at once; where the whole pool pauses, with what is left of the first pause, spread over as much time again, because the callers of a pause that return together would fill the pool at its end: of one caller every 2 ms of a pause of 2 s, under 250 of 1,000 return in the same tenth of a second (ReturnDelay).

--- a/src/gateway/endpointavailability.h
+++ b/src/gateway/endpointavailability.h
@@ -3,10 +3,25 @@
 #include "framework/global/iclock.h"
 #include "published/snapshot.h"
 
+#include <chrono>
 #include <map>
+#include <optional>
 
 namespace beryllever::gateway {
 
+using std::chrono::milliseconds;
+
+/** How a pause that an endpoint has asked for is kept. */
+struct RecordedPause
+{
+  /** Bounded; 0 if there is none. */
+  milliseconds mLength{ 0 };
+  /** The stated length is negative, not a number or too long. */
+  bool mIsAbsurd = false;
+  /** The endpoint was not pausing. */
+  bool mIsNew = false;
+};
+
 /**
  * What endpoints have said in their responses about taking requests. Each
  * statement holds for the incarnation that made it, whatever the store lists.
@@ -21,8 +36,21 @@
   bool RecordLeaving(const published::Endpoint& aEndpoint);
   bool IsLeaving(const published::Endpoint& aEndpoint) const;
 
-  /** Bounds the number of unlisted endpoints that are remembered, the most
-   * recent ones first: an endpoint that is not listed may be listed again. */
+  /** The endpoint takes no requests for the stated time. */
+  RecordedPause RecordPause(const published::Endpoint& aEndpoint,
+                            std::chrono::duration<double> aStated);
+  /** End of the endpoint's pause, if it pauses. */
+  std::optional<global::TimePoint> PausedUntil(
+    const published::Endpoint& aEndpoint) const;
+  /** When the first endpoint of a pool ends its pause, if all that are in
+   * service and not leaving pause. */
+  std::optional<global::TimePoint> PoolPausedUntil(
+    const published::Snapshot& aSnapshot,
+    const std::string& aPool) const;
+
+  /** Forgets pauses that have ended. Bounds the number of unlisted endpoints
+   * that are remembered, the most recent ones first: an endpoint that is not
+   * listed may be listed again. */
   void RemoveMissing(const published::Snapshot& aSnapshot);
 
 private:
@@ -33,8 +61,16 @@
     global::TimePoint mStatedAt{};
   };
 
+  struct Pause
+  {
+    /** Start time of the incarnation. */
+    int64_t mBorn = 0;
+    global::TimePoint mUntil{};
+  };
+
   const global::IClock& mClock;
   std::map<std::string, Leaving> mLeaving;
+  std::map<std::string, Pause> mPauses;
 };
 
 }
--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -54,6 +54,8 @@
   Chosen,
   /** The remaining usable endpoints are at capacity. */
   AtCapacity,
+  /** The remaining usable endpoints have asked for a pause. */
+  Paused,
   /** No untried usable endpoint remains. */
   NoneUsable,
 };
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -78,22 +78,29 @@
   }
   std::vector<Candidate> candidates;
   bool hasUntried = false;
+  bool hasPaused = false;
   for (const published::Endpoint* endpoint :
        aSnapshot.UsableEndpoints(aRequest.mPool)) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
         mAvailability.IsLeaving(*endpoint)) {
       continue;
     }
+    if (mAvailability.PausedUntil(*endpoint)) {
+      hasPaused = true;
+      continue;
+    }
     hasUntried = true;
     const EndpointStats& stats = mEndpointStats[endpoint->mId];
     if (HasCapacity(stats, *endpoint, *pool)) {
       candidates.push_back({ endpoint, Score(stats, *endpoint, aRequest) });
     }
   }
+  if (candidates.empty() && hasUntried) {
+    return { PlacementStatus::AtCapacity };
+  }
   if (candidates.empty()) {
-    return { hasUntried ? PlacementStatus::AtCapacity
-                        : PlacementStatus::NoneUsable,
-             nullptr };
+    return { hasPaused ? PlacementStatus::Paused
+                       : PlacementStatus::NoneUsable };
   }
   return { PlacementStatus::Chosen, PickFromSample(std::move(candidates)) };
 }
--- a/src/gateway/internal/endpointstatements.cpp
+++ b/src/gateway/internal/endpointstatements.cpp
@@ -8,6 +8,29 @@
 
 constexpr char kLogTag[] = "endpoint";
 constexpr char kStatementsMetric[] = "beryllever_endpoint_statements";
+constexpr unsigned kServiceUnavailableStatus = 503;
+
+void
+RecordPause(TrafficContext& aContext,
+            const published::Endpoint& aEndpoint,
+            std::chrono::duration<double> aStated)
+{
+  const RecordedPause pause =
+    aContext.mBalancer.Availability().RecordPause(aEndpoint, aStated);
+  if (pause.mIsAbsurd) {
+    LOGW("Endpoint asks for an absurd pause. endpoint="
+         << aEndpoint.mId << " born=" << aEndpoint.mBorn
+         << " pool=" << aEndpoint.mPool << " statedSeconds=" << aStated.count()
+         << " keptMilliseconds=" << pause.mLength.count());
+    aContext.mMetrics.Count(kStatementsMetric, { { "kind", "absurd_pause" } });
+  }
+  if (pause.mIsNew) {
+    LOGI("Endpoint asks for a pause; it gets no requests until then. endpoint="
+         << aEndpoint.mId << " born=" << aEndpoint.mBorn << " pool="
+         << aEndpoint.mPool << " milliseconds=" << pause.mLength.count());
+    aContext.mMetrics.Count(kStatementsMetric, { { "kind", "pause" } });
+  }
+}
 
 }
 
@@ -29,6 +52,9 @@
          << " pool=" << aEndpoint.mPool << " status=" << aStatus);
     aContext.mMetrics.Count(kStatementsMetric, { { "kind", "leaving" } });
   }
+  if (aStatus == kServiceUnavailableStatus && aMetadata.mRetryAfter) {
+    RecordPause(aContext, aEndpoint, *aMetadata.mRetryAfter);
+  }
 }
 
 }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -3,6 +3,7 @@
 #include "framework/log/log.h"
 #include "gateway/internal/endpointstatements.h"
 #include "gateway/internal/headerfields.h"
+#include "gateway/returndelay.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -144,6 +145,10 @@
     WaitForEndpoint();
     return;
   }
+  if (placement.mStatus == PlacementStatus::Paused) {
+    FailRequest("all endpoints have asked for a pause");
+    return;
+  }
   FailRequest(mLastFailure.empty() ? "no endpoint is in service"
                                    : mLastFailure);
 }
@@ -664,6 +669,14 @@
 milliseconds
 Exchange::RetryAfter()
 {
+  const milliseconds longest =
+    std::max(milliseconds(0), RemainingTime()) / kRetryAfterDivisor;
+  if (const auto resume = mContext.mBalancer.Availability().PoolPausedUntil(
+        *mContext.mSnapshot, mPool)) {
+    const auto pause =
+      duration_cast<milliseconds>(*resume - mContext.mClock.Now());
+    return DrawReturnDelay(pause, longest, mContext.mRandom);
+  }
   const published::Pool* pool = mContext.mSnapshot->FindPool(mPool);
   milliseconds delay = kRetryAfterFull;
   if (mWasRefused && pool != nullptr && pool->mEngine) {
@@ -672,8 +685,7 @@
   }
   std::uniform_real_distribution<double> jitter(0.7, 1.3);
   return std::min(duration_cast<milliseconds>(delay * jitter(mContext.mRandom)),
-                  std::max(milliseconds(0), RemainingTime()) /
-                    kRetryAfterDivisor);
+                  longest);
 }
 
 }
--- a/src/gateway/requestcodec.h
+++ b/src/gateway/requestcodec.h
@@ -51,6 +51,9 @@
   bool mIsMisdirected = false;
   /** The endpoint is leaving and takes no new requests. */
   bool mIsLeaving = false;
+  /** Time for which the endpoint wants no requests, as stated: it may be
+   * negative or absurdly long, and is not a number if it cannot be read. */
+  std::optional<std::chrono::duration<double>> mRetryAfter;
   /** Endpoint at which the request failed, if the response names one. */
   std::string mFaultyEndpoint;
   /** Idle timeout of the connection, if stated. */
