--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/endpointavailability.h"
 #include "gateway/gatewayfleet.h"
 #include "published/snapshot.h"
 
@@ -53,6 +54,8 @@
   Chosen,
   /** The remaining usable endpoints are at capacity. */
   AtCapacity,
+  /** The remaining usable endpoints have asked for a pause. */
+  Paused,
   /** No untried usable endpoint remains. */
   NoneUsable,
 };
@@ -97,6 +100,8 @@
   void RecordSent(const std::string& aEndpoint);
   void RecordOutcome(const std::string& aEndpoint, EndpointOutcome aOutcome);
   int Outstanding(const std::string& aEndpoint) const;
+  /** What endpoints have said about taking requests; Choose respects it. */
+  EndpointAvailability& Availability() { return mAvailability; }
 
 private:
   struct EndpointStats
@@ -143,6 +148,7 @@
   /** Rank of this gateway among all for each endpoint, computed on demand. */
   mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
+  EndpointAvailability mAvailability;
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -35,6 +35,7 @@
 EndpointBalancer::EndpointBalancer(const global::IClock& aClock, uint64_t aSeed)
   : mClock(aClock)
   , mRandom(aSeed)
+  , mAvailability(aClock)
 {
 }
 
@@ -64,6 +65,7 @@
   std::erase_if(mFleetRanks, [&](const auto& aRank) {
     return aSnapshot.FindEndpoint(aRank.first) == nullptr;
   });
+  mAvailability.RemoveMissing(aSnapshot);
 }
 
 Placement
@@ -76,9 +78,15 @@
   }
   std::vector<Candidate> candidates;
   bool hasUntried = false;
+  bool hasPaused = false;
   for (const published::Endpoint* endpoint :
        aSnapshot.UsableEndpoints(aRequest.mPool)) {
-    if (aRequest.mTriedEndpoints.contains(endpoint->mId)) {
+    if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
+        mAvailability.IsLeaving(*endpoint)) {
+      continue;
+    }
+    if (mAvailability.PausedUntil(*endpoint)) {
+      hasPaused = true;
       continue;
     }
     hasUntried = true;
@@ -87,10 +95,12 @@
       candidates.push_back({ endpoint, Score(stats, *endpoint, aRequest) });
     }
   }
+  if (candidates.empty() && hasUntried) {
+    return { PlacementStatus::AtCapacity };
+  }
   if (candidates.empty()) {
-    return { hasUntried ? PlacementStatus::AtCapacity
-                        : PlacementStatus::NoneUsable,
-             nullptr };
+    return { hasPaused ? PlacementStatus::Paused
+                       : PlacementStatus::NoneUsable };
   }
   return { PlacementStatus::Chosen, PickFromSample(std::move(candidates)) };
 }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -1,7 +1,9 @@
 #include "gateway/internal/exchange.h"
 
 #include "framework/log/log.h"
+#include "gateway/internal/endpointstatements.h"
 #include "gateway/internal/headerfields.h"
+#include "gateway/returndelay.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -154,6 +156,10 @@
     WaitForEndpoint();
     return;
   }
+  if (placement.mStatus == PlacementStatus::Paused) {
+    FailRequest("all endpoints have asked for a pause");
+    return;
+  }
   FailRequest(mLastFailure.empty() ? "no endpoint is in service"
                                    : mLastFailure);
 }
@@ -263,6 +269,7 @@
   mAttempt->mMetadata = mContext.mCodec.ParseResponse(aHead);
   mAttempt->mBody.clear();
   const ResponseMetadata& metadata = mAttempt->mMetadata;
+  RecordStatements(mContext, mAttempt->mEndpoint, aHead.mStatus, metadata);
   mAttempt->mIsMismatched =
     !metadata.mRequestId.empty() && metadata.mRequestId != mMetadata.mRequestId;
   if (mAttempt->mIsMismatched || metadata.mIsNotExecuted) {
@@ -702,6 +709,14 @@
 milliseconds
 Exchange::RetryAfter()
 {
+  const milliseconds longest =
+    std::max(milliseconds(0), RemainingTime()) / kRetryAfterDivisor;
+  if (const auto resume = mContext.mBalancer.Availability().PoolPausedUntil(
+        *mContext.mSnapshot, mPool)) {
+    const auto pause =
+      duration_cast<milliseconds>(*resume - mContext.mClock.Now());
+    return DrawReturnDelay(pause, longest, mContext.mRandom);
+  }
   const published::Pool* pool = mContext.mSnapshot->FindPool(mPool);
   milliseconds delay = kRetryAfterFull;
   if (mWasRefused && pool != nullptr && pool->mEngine) {
@@ -710,8 +725,7 @@
   }
   std::uniform_real_distribution<double> jitter(0.7, 1.3);
   return std::min(duration_cast<milliseconds>(delay * jitter(mContext.mRandom)),
-                  std::max(milliseconds(0), RemainingTime()) /
-                    kRetryAfterDivisor);
+                  longest);
 }
 
 }
