Disarm a rank that seems superseded but is still armed

What callers would see: one rank switches alone, two maps in one pass. Suspected only: no engine was seen armed with one version while it has prepared a higher one.

Cause: since lagging reports are not trusted, a rank counts as cleared if it has had a version above the map's; whether it is armed for the switch was no longer looked at first.

Evidence: DisarmsARankThatHasPreparedAnotherVersionSince failed before: expected one command, got none.

--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -259,6 +259,9 @@
 bool
 MapChange::IsCleared(const RankState& aState) const
 {
+  if (aState.mArmedVersion != 0 && IsOwnSwitch(aState)) {
+    return false;
+  }
   // Versions only increase, so a superseded version can no longer be armed. A
   // state that may lag proves nothing else: the rank can have prepared and
   // armed the map since.
@@ -267,7 +270,7 @@
   }
   if (aState.mArmedVersion != 0) {
     // Armed by another leader, for a pass that it holds.
-    return !IsOwnSwitch(aState) && !aState.mMayLag;
+    return !aState.mMayLag;
   }
   return aState.mPreparedVersion == mPlan.mSupersedingVersion;
 }
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -487,6 +487,50 @@
   CHECK_EQUAL(1, commands[0].mRank);
 }
 
+TEST(MapChange, DisarmsARankThatHasPreparedAnotherVersionSince)
+{
+  // Arrange: the change clears, because the second rank refuses to arm.
+  const uint64_t version = VersionAbove(0, 0);
+  const RankState first{ .mRank = 0, .mPreparedVersion = version };
+  const RankState second{ .mRank = 1, .mPreparedVersion = version };
+  MapChange change({ .mVersion = version, .mStep = 4 }, { first, second });
+  change.HandleOutcome(0, OrderOutcome::Accepted);
+  change.HandleOutcome(0, OrderOutcome::Accepted);
+  change.HandleOutcome(1, OrderOutcome::Refused);
+  change.HandleState(1, RankState{ .mRank = 1 });
+  change.TakeCommands();
+  RankState armed = first;
+  armed.mPreparedVersion = VersionAbove(version, 1);
+  armed.mArmedVersion = version;
+  armed.mArmedStep = 4;
+
+  change.HandleState(0, armed);
+
+  const std::vector<RankCommand> commands = change.TakeCommands();
+  CHECK_EQUAL(1, commands.size());
+  CHECK(commands[0].mOrder.mOperation == RankOperation::Disarm);
+}
+
+TEST(MapChange, TakesNoLaggingStateForARankThatAnotherLeaderHasArmed)
+{
+  // Arrange: a change that clears what another leader has left behind.
+  const RankState first{ .mRank = 0, .mHeldStep = 4 };
+  const RankState second{ .mRank = 1, .mHeldStep = 4 };
+  MapChange change({ .mStep = 4, .mSupersedingVersion = VersionAbove(0, 0) },
+                   { first, second });
+  change.TakeCommands();
+  const RankState armed{ .mRank = 1,
+                         .mArmedVersion = VersionAbove(0, 1),
+                         .mArmedStep = 5,
+                         .mMayLag = true };
+
+  change.HandleState(1, armed);
+
+  const std::vector<RankCommand> commands = change.TakeCommands();
+  CHECK_EQUAL(1, commands.size());
+  CHECK(commands[0].mIsRead);
+}
+
 TEST(MapChange, DetectsAnIgnoredHold)
 {
   Explorer explorer({ .mMaxLateOrders = 0,
