Remember every released pass until it has begun

What callers would see: two maps in one pass.

Cause: a leader remembered the last pass that it had released only. If its orders to hold and to release a pass are duplicated late, and it has cleared another pass in between, its late hold looked like a new one; the leader then cleared the pass rank by rank instead of releasing it again, while the late release lets the pass begin half disarmed.

Why it works: released passes are kept until they have begun or the group has formed anew.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -143,6 +143,11 @@
   const bool mayLead = isNewEpoch || !aState.mIsOpen ||
                        aState.mStep >= mEligibleStep ||
                        mClock.Now() >= mEligibleTime;
+  if (isNewEpoch) {
+    mReleasedSteps.clear();
+  }
+  mReleasedSteps.erase(mReleasedSteps.begin(),
+                       mReleasedSteps.upper_bound(aState.mStep));
   if (mayLead && !mMayLead) {
     mMayLead = true;
     mEligibleSince = mClock.Now();
@@ -269,8 +274,8 @@
   LOGW("A hold that a lead has left is cleared. group="
        << mLocalRank->mGroup << " step=" << held << " own=" << (own != 0));
   mHeldSince = {};
-  BeginChange(
-    { .mStep = held, .mIsReleaseOnly = own != 0 && own == mReleasedStep });
+  BeginChange({ .mStep = held,
+                .mIsReleaseOnly = own != 0 && mReleasedSteps.contains(own) });
   return true;
 }
 
@@ -445,7 +450,7 @@
 {
   mHighestVersion = std::max(mHighestVersion, aChange.SupersedingVersion());
   if (aChange.HasBegunRelease()) {
-    mReleasedStep = mChangeStep;
+    mReleasedSteps.insert(mChangeStep);
   }
   if (!aChange.HasSucceeded()) {
     mNextPlanTime = mClock.Now() + kDelayAfterFailedChange;
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -108,8 +108,9 @@
   /** Highest pass that this leader has used in a change. */
   uint64_t mHighestUsedStep = 0;
   uint64_t mChangeStep = 0;
-  /** Pass that this leader has released, or may have released. */
-  uint64_t mReleasedStep = 0;
+  /** Passes that this leader has released, or may have released, and that have
+   * not begun. */
+  std::set<uint64_t> mReleasedSteps;
   uint64_t mObservedHeldStep = 0;
   global::TimePoint mHeldSince{};
   /** When the local rank was first seen in its current pass. */
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <QCoreApplication>
 #include <QDeadlineTimer>
+#include <algorithm>
 #include <map>
 
 using namespace beryllever;
@@ -39,6 +40,13 @@
   uint64_t Step() const { return mRanks[0].mStep; }
   void Freeze() { mTimer.stop(); }
   RankState& Rank(uint32_t aRank) { return mRanks[aRank]; }
+  bool IsHeld() const
+  {
+    return std::any_of(
+      mRanks.begin(), mRanks.end(), [](const RankState& aRank) {
+        return aRank.mHeldStep != 0;
+      });
+  }
   int PrepareOrders() const { return mPrepareOrders; }
   /** Orders to prepare are not answered from now on, and another leader
    * prepares a version above the first one. */
@@ -192,6 +200,26 @@
   LONGS_EQUAL(0, mGroup.PrepareOrders());
 }
 
+TEST(GroupLeader, OnlyReleasesAPassThatItHasReleasedBefore)
+{
+  // Arrange: the leader clears two passes, one after the other.
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mGroup.Freeze();
+  const uint64_t first = mGroup.Step() + 1;
+  for (const uint64_t step : { first, first + 2 }) {
+    mGroup.Rank(0).mHeldStep = step;
+    CHECK(ProcessEventsUntil([&] { return !mGroup.IsHeld(); }));
+  }
+  const int orders = mGroup.PrepareOrders();
+
+  // Act: a hold of the first pass is executed late.
+  mGroup.Rank(1).mHeldStep = first;
+
+  // Assert
+  CHECK(ProcessEventsUntil([&] { return !mGroup.IsHeld(); }));
+  LONGS_EQUAL(orders, mGroup.PrepareOrders());
+}
+
 TEST(GroupLeader, GivesTheVersionOfAFailedChangeToNoOther)
 {
   // Arrange: another leader leaves a hold and no order to prepare is answered.
