Connect at once to a peer that has restarted

A peer that has joined or restarted is alive, so a channel to it that waits is dropped and the next call connects.

--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -310,6 +310,9 @@
     if (member.mLoad) {
       mListener->HandleLoad(*member.mLoad);
     }
+    if (result == MergeResult::Joined) {
+      DropFailedChannel(member.mPeerAddress);
+    }
     if (result != MergeResult::Refreshed) {
       LOGI("Peer is known. vm=" << member.mVm << " role=" << member.mRole
                                 << " incarnation=" << member.mIncarnation
@@ -423,6 +426,16 @@
   mChannels.erase(aAddress);
 }
 
+void
+MeshNode::DropFailedChannel(const std::string& aAddress)
+{
+  const auto it = mChannels.find(aAddress);
+  if (it != mChannels.end() &&
+      it->second->GetState(false) == GRPC_CHANNEL_TRANSIENT_FAILURE) {
+    mChannels.erase(it);
+  }
+}
+
 void
 MeshNode::DropUnusedChannels()
 {
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -92,6 +92,9 @@
   /** Replaces the connection to a peer after calls that have timed out. */
   void ReplaceSilentChannel(const std::string& aAddress,
                             const grpc::Status& aStatus);
+  /** Drops the channel to a peer that has started, if it waits before it
+   * connects again. */
+  void DropFailedChannel(const std::string& aAddress);
   void DropUnusedChannels();
 
   const global::IClock& mClock;
--- a/src/mesh/tests/meshnodetest.cpp
+++ b/src/mesh/tests/meshnodetest.cpp
@@ -1,5 +1,6 @@
 #include "mesh/meshnode.h"
 
+#include "mesh/internal/messages.h"
 #include "transport/grpcserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -36,10 +37,18 @@
     }
   }
 
+  bool mIsRefusing = false;
+  int mRefused = 0;
+
 private:
   void PassOn()
   {
     QTcpSocket* const caller = nextPendingConnection();
+    if (mIsRefusing) {
+      ++mRefused;
+      caller->abort();
+      return;
+    }
     auto* const peer = new QTcpSocket(this);
     peer->connectToHost("127.0.0.1", kPeerPort);
     Copy(caller, peer);
@@ -86,6 +95,7 @@
   };
   transport::GrpcServer mServer;
   Relay mRelay;
+  v1::GossipReply mReply;
 
   void setup() override
   {
@@ -94,6 +104,10 @@
     mServer.Add(mPeer.Service());
     CHECK(mServer.Start(kPeerAddress));
     CHECK(mRelay.listen(QHostAddress::LocalHost, kRelayPort));
+  }
+
+  void Start()
+  {
     mPeer.Start();
     mNode.Start();
   }
@@ -105,6 +119,13 @@
     mServer.Stop();
   }
 
+  static v1::GossipRequest GossipOf(const Member& aMember)
+  {
+    v1::GossipRequest request;
+    ToMessage(aMember, *request.add_members());
+    return request;
+  }
+
   /** Whether the node hears its peer after aTime, before aDeadline. */
   bool HearsPeerAfter(global::TimePoint aTime, global::TimePoint aDeadline)
   {
@@ -120,6 +141,7 @@
 
 TEST(MeshNode, HearsAPeerAgainSoonAfterTheConnectionHasGoneSilent)
 {
+  Start();
   const auto begin = mClock.Now();
   CHECK(HearsPeerAfter(begin, begin + milliseconds(3000)));
 
@@ -129,3 +151,25 @@
   const auto silence = mClock.Now();
   CHECK(HearsPeerAfter(silence, silence + milliseconds(2400)));
 }
+
+TEST(MeshNode, APeerThatHasRestartedIsReachedAtOnce)
+{
+  // Arrange: after six attempts, the next one is due about 1 s later.
+  constexpr int kAttempts = 6;
+  mRelay.mIsRefusing = true;
+  Start();
+  const auto begin = mClock.Now();
+  while (mRelay.mRefused < kAttempts &&
+         mClock.Now() - begin < milliseconds(5000)) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  LONGS_EQUAL(kAttempts, mRelay.mRefused);
+
+  // Act
+  mRelay.mIsRefusing = false;
+  mNode.HandleGossip(GossipOf(GatewayAt("peer", kRelayAddress)), mReply);
+
+  // Assert
+  const auto restart = mClock.Now();
+  CHECK(HearsPeerAfter(restart, restart + milliseconds(600)));
+}
