--- a/src/mesh/tests/meshnodetest.cpp
+++ b/src/mesh/tests/meshnodetest.cpp
@@ -1,5 +1,6 @@
 #include "mesh/meshnode.h"
 
+#include "mesh/internal/messages.h"
 #include "transport/grpcserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -46,10 +47,18 @@
     }
   }
 
+  bool mIsRefusing = false;
+  int mRefused = 0;
+
 private:
   void PassOn()
   {
     QTcpSocket* const caller = nextPendingConnection();
+    if (mIsRefusing) {
+      ++mRefused;
+      caller->abort();
+      return;
+    }
     auto* const peer = new QTcpSocket(this);
     peer->connectToHost("127.0.0.1", mPeerPort);
     Copy(caller, peer);
@@ -97,6 +106,7 @@
   transport::GrpcServer mServer;
   std::optional<MeshNode> mPeer;
   std::optional<MeshNode> mNode;
+  v1::GossipReply mReply;
 
   void setup() override
   {
@@ -112,6 +122,10 @@
     mNode->SetListener(mItems);
     mServer.Add(mPeer->Service());
     CHECK(mServer.Start(AddressOf(mPeerPort)));
+  }
+
+  void Start()
+  {
     mPeer->Start();
     mNode->Start();
   }
@@ -123,6 +137,13 @@
     mServer.Stop();
   }
 
+  static v1::GossipRequest GossipOf(const Member& aMember)
+  {
+    v1::GossipRequest request;
+    ToMessage(aMember, *request.add_members());
+    return request;
+  }
+
   /** Whether the node hears its peer after aTime, before aDeadline. */
   bool HearsPeerAfter(global::TimePoint aTime, global::TimePoint aDeadline)
   {
@@ -138,6 +159,7 @@
 
 TEST(MeshNode, HearsAPeerAgainSoonAfterTheConnectionHasGoneSilent)
 {
+  Start();
   const auto begin = mClock.Now();
   CHECK(HearsPeerAfter(begin, begin + milliseconds(3000)));
 
@@ -147,3 +169,26 @@
   const auto silence = mClock.Now();
   CHECK(HearsPeerAfter(silence, silence + milliseconds(2400)));
 }
+
+TEST(MeshNode, APeerThatHasRestartedIsReachedAtOnce)
+{
+  // Arrange: after six attempts, the next one is due about 1 s later.
+  constexpr int kAttempts = 6;
+  mRelay.mIsRefusing = true;
+  Start();
+  const auto begin = mClock.Now();
+  while (mRelay.mRefused < kAttempts &&
+         mClock.Now() - begin < milliseconds(5000)) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  LONGS_EQUAL(kAttempts, mRelay.mRefused);
+
+  // Act
+  mRelay.mIsRefusing = false;
+  mNode->HandleGossip(
+    GossipOf(GatewayAt("peer", AddressOf(mRelay.serverPort()))), mReply);
+
+  // Assert
+  const auto restart = mClock.Now();
+  CHECK(HearsPeerAfter(restart, restart + milliseconds(600)));
+}
