Take an unframed stream without any event for broken off

A worker that crashes right after the head of an unframed stream can close its connection in good order. Callers got an empty stream that looked complete, and its parts of the prompt counted as sound.

Cause: the end of an unframed connection is the only sign of the end of its stream. One without any event that is not a resumption is now a broken attempt. A response of a stated length, of another type than events, or without a body by its status stays as it is.

platform_test, group UnframedResponse: AStreamThatEndsBeforeItsFirstEventIsResumed failed before; the other two new tests guard what held.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -395,10 +395,9 @@
     HandleNotExecuted();
     return;
   }
-  if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsForwarded &&
-      mResponse.IsInsideEvent()) {
+  if (aEnd == net::AnswerEnd::Complete && IsBrokenOffStream()) {
     RecordBreak();
-    HandleBrokenAttempt("stream ended inside an event");
+    HandleBrokenAttempt("stream ended inside an event or without one");
     return;
   }
   if (aEnd == net::AnswerEnd::Complete) {
@@ -410,6 +409,24 @@
                       std::string(net::NameOf(aEnd)));
 }
 
+bool
+Exchange::IsBrokenOffStream() const
+{
+  const net::AnswerHead& head = *mAttempt->mHead;
+  const auto type = head.mFields[http::field::content_type];
+  const bool isEvents =
+    type.empty() || boost::algorithm::istarts_with(type, "text/event-stream");
+  const bool mayEndAnywhere = !isEvents || head.mLength ||
+                              head.mStatus != 200 || mRequest.mMethod == "HEAD";
+  if (!mAttempt->mIsForwarded || !IsEventStream() || mayEndAnywhere) {
+    return false;
+  }
+  // A resumed stream may have no more events.
+  const bool isResumed = mResponse.LastEventId() || mMetadata.mLastEventId;
+  return mResponse.IsInsideEvent() ||
+         (!head.mIsChunked && !isResumed && mResponse.AttemptParts() == 0);
+}
+
 void
 Exchange::RecordBreak()
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -78,6 +78,8 @@
   void HandleDeadline();
 
   bool IsEventStream() const;
+  /** Whether an event stream that ended in good order was broken off. */
+  bool IsBrokenOffStream() const;
   /** Whether a request that may have run can be retried; consumes a retry of
    * the pool if so. */
   bool TryConsumeRetry() const;
