Suspect what was being answered at a crash rather than what waited

Callers of a sound part were refused after a crash of another cause: a request that merely waited at the crashed endpoint made its part a suspect for 30 s.

Cause: every break before the first event weighed the same. All 6 logged attempts with the deadly part had got the head of the answer, and none of the 9 false suspects that were looked up had. Now a part is refused for 30 s only if it is the only one with which an answer had begun, or after several crashes; any other is tried 2 s after the crash, when the other gateways could speak for it. Suspects of the same crash that only waited do not make it a shared suspicion. A crash that is withdrawn does not hide a later one of the same endpoint, and an endpoint that crashes again before its new start is known counts again.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -435,7 +435,8 @@
     mAttempt->mHead &&
     mContext.mClock.Now() - mAttempt->mHeadAt > kMaxBeginTime;
   if (!hasBegun && !wasStalled) {
-    mContext.mPromptGuard.RecordBreak(mMetadata, mAttempt->mEndpoint);
+    mContext.mPromptGuard.RecordBreak(
+      mMetadata, mAttempt->mEndpoint, mAttempt->mHead.has_value());
   }
 }
 
--- a/src/gateway/internal/promptguard.cpp
+++ b/src/gateway/internal/promptguard.cpp
@@ -103,16 +103,18 @@
 
 void
 PromptGuard::RecordBreak(const RequestMetadata& aRequest,
-                         const published::Endpoint& aEndpoint)
+                         const published::Endpoint& aEndpoint,
+                         bool aHasBegun)
 {
   const auto notices = mQuarantine.RecordCrash(
-    aRequest.mSharedParts, { aEndpoint.mId, aEndpoint.mBorn });
+    aRequest.mSharedParts, { aEndpoint.mId, aEndpoint.mBorn }, aHasBegun);
   for (size_t i = 0; i < notices.size(); ++i) {
     mMetrics.Count("beryllever_suspected_parts");
   }
   Tell(notices,
        "endpoint " + aEndpoint.mId + " broke off request " +
-         aRequest.mRequestId + " before its first event");
+         aRequest.mRequestId +
+         (aHasBegun ? " before its first event" : " before its head"));
 }
 
 void
--- a/src/gateway/internal/promptguard.h
+++ b/src/gateway/internal/promptguard.h
@@ -33,10 +33,11 @@
                   const published::Endpoint& aEndpoint);
   /** The endpoint goes on with its answer, or has completed it. */
   void RecordSound(const RequestMetadata& aRequest);
-  /** The endpoint's connection has ended before the first part of the answer.
-   */
+  /** The endpoint's connection has ended before the first event, and after the
+   * head of the answer or not. */
   void RecordBreak(const RequestMetadata& aRequest,
-                   const published::Endpoint& aEndpoint);
+                   const published::Endpoint& aEndpoint,
+                   bool aHasBegun);
   /** The endpoint sends data of the answer to a request sent at aSentAt. */
   void RecordAlive(const published::Endpoint& aEndpoint,
                    global::TimePoint aSentAt);
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -122,6 +122,7 @@
     message.set_since_crash_milliseconds(notice.mSinceCrash.count());
     message.set_refusal_milliseconds(notice.mRefusalTime.count());
     message.set_trial_milliseconds(notice.mTrialTime.count());
+    message.set_has_begun(notice.mHasBegun);
   }
 }
 
@@ -140,7 +141,8 @@
       .mCrashes = {},
       .mSinceCrash = milliseconds(message.since_crash_milliseconds()),
       .mRefusalTime = milliseconds(message.refusal_milliseconds()),
-      .mTrialTime = milliseconds(message.trial_milliseconds())
+      .mTrialTime = milliseconds(message.trial_milliseconds()),
+      .mHasBegun = message.has_begun()
     };
     for (int i = 0; i < std::min(message.crashes_size(), kMaxCrashes); ++i) {
       notice.mCrashes.push_back(
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -28,7 +28,8 @@
 /** Fraction of the time that gateways add at random, so that two do not try
  * the part in the same moment. */
 constexpr double kRefusalTimeSpread = 0.2;
-/** Longest time to the first event of a trial. */
+/** Longest time to the first event of a trial, and time after a crash within
+ * which other gateways and the endpoint itself show what it was. */
 constexpr milliseconds kTrialTime{ 2000 };
 /** Data that arrived before a crash may be read this much later. */
 constexpr milliseconds kReadDelay{ 300 };
@@ -86,26 +87,25 @@
 }
 
 bool
-PromptQuarantine::IsSoleSuspect(const Suspicion& aSuspicion) const
+PromptQuarantine::IsProbablyDeadly(const Suspicion& aSuspicion) const
 {
   if (aSuspicion.mCrashes.size() != 1) {
     return true;
   }
   const EndpointLife& crash = *aSuspicion.mCrashes.begin();
-  const auto suspects = std::count_if(
+  const auto begun = std::count_if(
     mSuspicions.begin(), mSuspicions.end(), [&](const auto& aOther) {
-      return aOther.second.mCrashes.contains(crash);
+      return aOther.second.mHasBegun && aOther.second.mCrashes.contains(crash);
     });
-  return suspects == 1;
+  return aSuspicion.mHasBegun && begun == 1;
 }
 
 global::TimePoint
 PromptQuarantine::RefusedUntil(const Suspicion& aSuspicion,
                                bool aIsOnlyOne) const
 {
-  // A part that is one of several suspects is probably sound, and a request
-  // that has none of the others shows it.
-  const bool mayTry = aIsOnlyOne && !IsSoleSuspect(aSuspicion);
+  // A part that is probably sound is tried soon, without other suspects.
+  const bool mayTry = aIsOnlyOne && !IsProbablyDeadly(aSuspicion);
   return mayTry ? aSuspicion.mTrialUntil
                 : std::max(aSuspicion.mTrialUntil, aSuspicion.mRefusedUntil);
 }
@@ -151,27 +151,36 @@
 
 Notices
 PromptQuarantine::RecordCrash(const std::vector<PromptPart>& aParts,
-                              const EndpointLife& aEndpoint)
+                              const EndpointLife& aEndpoint,
+                              bool aHasBegun)
 {
   Notices notices;
   const auto now = mClock.Now();
   for (const PromptPart part : aParts) {
-    if (mSound.Contains(part) || IsWithdrawn(aEndpoint)) {
+    if (mSound.Contains(part) || IsWithdrawn(aEndpoint, now)) {
       continue;
     }
     Suspicion& suspicion = mSuspicions[part];
-    if (!suspicion.mCrashes.insert(aEndpoint).second) {
+    const bool isNew = suspicion.mCrashes.insert(aEndpoint).second;
+    const bool isSameCrash =
+      !isNew && now < suspicion.mCrashedAt + kMinRestartTime;
+    if (isSameCrash && (suspicion.mHasBegun || !aHasBegun)) {
       continue;
     }
+    suspicion.mHasBegun = suspicion.mHasBegun || aHasBegun;
     if (suspicion.mCrashes.size() > kMaxCrashes) {
       suspicion.mCrashes.erase(suspicion.mCrashes.begin());
     }
     suspicion.mCrashedAt = now;
-    const auto time = RefusalTime(suspicion.mCrashes.size());
+    // A life that is known already has crashed before: its new one is not known
+    // yet.
+    const bool isNewLife = !isNew && !isSameCrash;
+    const auto time =
+      RefusalTime(suspicion.mCrashes.size() + (isNewLife ? 1 : 0));
     std::uniform_real_distribution<double> spread(1, 1 + kRefusalTimeSpread);
     suspicion.mRefusedUntil =
       now + duration_cast<milliseconds>(time * spread(mRandom));
-    suspicion.mTrialUntil = {};
+    suspicion.mTrialUntil = now + kTrialTime;
     notices.push_back(NoticeOf(part, suspicion));
     RemoveOldest();
   }
@@ -197,9 +206,10 @@
 PromptQuarantine::Withdraw(const EndpointLife& aCrash)
 {
   Notices notices;
-  if (!IsWithdrawn(aCrash)) {
-    mWithdrawn.push_back(aCrash);
-  }
+  std::erase_if(mWithdrawn, [&](const auto& aWithdrawn) {
+    return aWithdrawn.first == aCrash;
+  });
+  mWithdrawn.emplace_back(aCrash, mClock.Now());
   if (mWithdrawn.size() > kMaxWithdrawn) {
     mWithdrawn.pop_front();
   }
@@ -242,10 +252,12 @@
       { .mKind = NoticeKind::Sound, .mPart = aNotice.mPart, .mCrashes = {} }
     };
   }
+  const auto now = mClock.Now();
+  const auto crashedAt = now - Bounded(aNotice.mSinceCrash);
   Notices unknown;
   std::set<EndpointLife> crashes;
   for (const EndpointLife& crash : aNotice.mCrashes) {
-    if (IsWithdrawn(crash)) {
+    if (IsWithdrawn(crash, crashedAt)) {
       unknown.push_back({ .mKind = NoticeKind::Withdrawn,
                           .mPart = aNotice.mPart,
                           .mCrashes = { crash } });
@@ -256,14 +268,13 @@
   if (crashes.empty()) {
     return unknown;
   }
-  const auto now = mClock.Now();
   Suspicion& suspicion = mSuspicions[aNotice.mPart];
   suspicion.mCrashes.merge(crashes);
   while (suspicion.mCrashes.size() > kMaxCrashes) {
     suspicion.mCrashes.erase(suspicion.mCrashes.begin());
   }
-  suspicion.mCrashedAt =
-    std::max(suspicion.mCrashedAt, now - Bounded(aNotice.mSinceCrash));
+  suspicion.mCrashedAt = std::max(suspicion.mCrashedAt, crashedAt);
+  suspicion.mHasBegun = suspicion.mHasBegun || aNotice.mHasBegun;
   suspicion.mRefusedUntil =
     std::max(suspicion.mRefusedUntil, now + Bounded(aNotice.mRefusalTime));
   suspicion.mTrialUntil =
@@ -301,15 +312,19 @@
     .mCrashes = { aSuspicion.mCrashes.begin(), aSuspicion.mCrashes.end() },
     .mSinceCrash = duration_cast<milliseconds>(now - aSuspicion.mCrashedAt),
     .mRefusalTime = left(aSuspicion.mRefusedUntil),
-    .mTrialTime = left(aSuspicion.mTrialUntil)
+    .mTrialTime = left(aSuspicion.mTrialUntil),
+    .mHasBegun = aSuspicion.mHasBegun
   };
 }
 
 bool
-PromptQuarantine::IsWithdrawn(const EndpointLife& aCrash) const
+PromptQuarantine::IsWithdrawn(const EndpointLife& aCrash,
+                              global::TimePoint aCrashedAt) const
 {
-  return std::find(mWithdrawn.begin(), mWithdrawn.end(), aCrash) !=
-         mWithdrawn.end();
+  return std::any_of(
+    mWithdrawn.begin(), mWithdrawn.end(), [&](const auto& aWithdrawn) {
+      return aWithdrawn.first == aCrash && aCrashedAt <= aWithdrawn.second;
+    });
 }
 
 void
--- a/src/quarantine/promptquarantine.h
+++ b/src/quarantine/promptquarantine.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace beryllever::quarantine {
@@ -23,7 +24,12 @@
   /** Start of the endpoint. */
   int64_t mIncarnation = 0;
 
-  auto operator<=>(const EndpointLife&) const = default;
+  bool operator==(const EndpointLife&) const = default;
+  bool operator<(const EndpointLife& aOther) const
+  {
+    return std::tie(mEndpoint, mIncarnation) <
+           std::tie(aOther.mEndpoint, aOther.mIncarnation);
+  }
 };
 
 enum class NoticeKind
@@ -49,6 +55,8 @@
   milliseconds mRefusalTime{ 0 };
   /** Time for which the outcome of a trial is awaited. */
   milliseconds mTrialTime{ 0 };
+  /** The answer had begun when an endpoint crashed. */
+  bool mHasBegun = false;
 };
 
 using Notices = std::vector<Notice>;
@@ -80,9 +88,11 @@
   Notices RecordSent(const std::vector<PromptPart>& aParts);
   /** An answer to a request with these parts was begun and went on. */
   Notices RecordSound(const std::vector<PromptPart>& aParts);
-  /** An endpoint broke off a request before its first event. */
+  /** An endpoint broke off a request before its first event, and after it had
+   * begun an answer or not. */
   Notices RecordCrash(const std::vector<PromptPart>& aParts,
-                      const EndpointLife& aEndpoint);
+                      const EndpointLife& aEndpoint,
+                      bool aHasBegun);
   /** An endpoint sends data of an answer to a request sent at aSentAt. */
   Notices RecordAlive(const EndpointLife& aEndpoint, global::TimePoint aSentAt);
   /** Takes a notice of another gateway; returns what that one does not know. */
@@ -98,16 +108,21 @@
     global::TimePoint mCrashedAt{};
     /** Until then requests with the part are refused. */
     global::TimePoint mRefusedUntil{};
-    /** Until then the outcome of a trial is awaited. */
+    /** Until then the outcome of a crash or of a trial is awaited. */
     global::TimePoint mTrialUntil{};
+    /** The answer had begun when an endpoint crashed. */
+    bool mHasBegun = false;
   };
 
-  /** Whether the part alone explains its crash, or has explained several. */
-  bool IsSoleSuspect(const Suspicion& aSuspicion) const;
+  /** Whether the part was there in several crashes, or is the only one with
+   * which an answer had begun. */
+  bool IsProbablyDeadly(const Suspicion& aSuspicion) const;
   global::TimePoint RefusedUntil(const Suspicion& aSuspicion,
                                  bool aIsOnlyOne) const;
   Notice NoticeOf(PromptPart aPart, const Suspicion& aSuspicion) const;
-  bool IsWithdrawn(const EndpointLife& aCrash) const;
+  /** Whether what looked like a crash at aCrashedAt was none. */
+  bool IsWithdrawn(const EndpointLife& aCrash,
+                   global::TimePoint aCrashedAt) const;
   /** Drops a crash that was none from all suspicions. */
   Notices Withdraw(const EndpointLife& aCrash);
   void RemoveOldest();
@@ -117,8 +132,8 @@
   mutable std::mt19937_64 mRandom;
   SoundParts mSound;
   std::map<PromptPart, Suspicion> mSuspicions;
-  /** Crashes that were none, the last ones. */
-  std::deque<EndpointLife> mWithdrawn;
+  /** Crashes that were none, the last ones, and when that was known. */
+  std::deque<std::pair<EndpointLife, global::TimePoint>> mWithdrawn;
 };
 
 }
