Tell the outcome of an order to an engine that is replaced meanwhile

What callers would see: the map of a group is never changed again and a pass may stay held, until the leader restarts.

Cause: an order past an agent did not keep the client of the engine. If the rank's address changed before the answer, the client was destroyed and the outcome was never told, so the change never ended. A client that is replaced was also freed inside its own callback when it read a state.

Why it works: a call keeps its client until its outcome has been told and control has returned to the event loop.

--- a/src/rankagent/internal/peerengines.cpp
+++ b/src/rankagent/internal/peerengines.cpp
@@ -1,6 +1,7 @@
 #include "rankagent/internal/peerengines.h"
 
 #include "framework/log/log.h"
+#include "transport/post.h"
 
 namespace beryllever::rankagent {
 
@@ -77,7 +78,8 @@
     return;
   }
   engine->ReadState(
-    [engine, aDepth, aOnSample](std::optional<RankState> aState) {
+    [this, engine, aDepth, aOnSample](std::optional<RankState> aState) {
+      transport::Post(&mContext, [engine] {});
       if (aState) {
         aState->mMayLag = true;
       }
@@ -107,7 +109,11 @@
     aOnOutcome(OrderOutcome::Unknown);
     return;
   }
-  engine->Order(aOrder, std::move(aOnOutcome));
+  // The engine may be replaced before it answers.
+  engine->Order(aOrder, [this, engine, aOnOutcome](OrderOutcome aOutcome) {
+    aOnOutcome(aOutcome);
+    transport::Post(&mContext, [engine] {});
+  });
 }
 
 }
--- a/src/rankagent/internal/peerengines.h
+++ b/src/rankagent/internal/peerengines.h
@@ -4,6 +4,7 @@
 #include "rankagent/internal/engineclient.h"
 #include "rankagent/internal/groupport.h"
 
+#include <QObject>
 #include <map>
 #include <memory>
 
@@ -45,6 +46,7 @@
 
   const global::IClock& mClock;
   const IEngineCodec& mCodec;
+  QObject mContext;
   std::map<uint32_t, Peer> mPeers;
 };
 
