Read a lagging rank no more often than its report changes

What callers see: after the agent of a leader has died, the group stands still longer than it need.

Cause: past an agent that does not answer, the engine is read from another machine, and its report is 200 ms old. A change reads and orders each rank at most 24 times in a phase, without a pause, so with calls of 8 ms or less every clear ended as failed before the report could show its orders, and each began anew with a higher version.

TheReadsOfAChangeLastLongerThanAReportLags failed before: 12 reads took 2 ms, now 0.44 s.

--- a/src/rankagent/internal/peerengines.cpp
+++ b/src/rankagent/internal/peerengines.cpp
@@ -3,6 +3,9 @@
 #include "framework/log/log.h"
 #include "transport/post.h"
 
+#include <QTimer>
+#include <algorithm>
+
 namespace beryllever::rankagent {
 
 namespace {
@@ -11,6 +14,10 @@
 /** Time for which an agent that did not answer is bypassed. A frozen agent
  * recovers within seconds. */
 constexpr std::chrono::milliseconds kBypassTime{ 1500 };
+/** Shortest interval between two reads of a rank. Its report to another machine
+ * is some hundred milliseconds old, and a change reads each rank a limited
+ * number of times. */
+constexpr std::chrono::milliseconds kReadInterval{ 40 };
 
 }
 
@@ -71,6 +78,30 @@
 PeerEngines::Sample(uint32_t aRank,
                     SampleDepth aDepth,
                     IGroupPort::OnSample aOnSample)
+{
+  const auto it = mPeers.find(aRank);
+  if (it == mPeers.end()) {
+    aOnSample(std::nullopt);
+    return;
+  }
+  const auto now = mClock.Now();
+  const auto time = std::max(now, it->second.mNextReadTime);
+  it->second.mNextReadTime = time + kReadInterval;
+  if (time == now) {
+    Read(aRank, aDepth, aOnSample);
+    return;
+  }
+  QTimer::singleShot(
+    std::chrono::ceil<std::chrono::milliseconds>(time - now),
+    Qt::PreciseTimer,
+    &mContext,
+    [this, aRank, aDepth, aOnSample] { Read(aRank, aDepth, aOnSample); });
+}
+
+void
+PeerEngines::Read(uint32_t aRank,
+                  SampleDepth aDepth,
+                  const IGroupPort::OnSample& aOnSample)
 {
   const auto engine = FindEngine(aRank);
   if (!engine) {
--- a/src/rankagent/internal/peerengines.h
+++ b/src/rankagent/internal/peerengines.h
@@ -26,6 +26,7 @@
   void BypassAgent(uint32_t aRank);
   bool IsAgentBypassed(uint32_t aRank) const;
 
+  /** Reads a rank, but no more often than its report changes. */
   void Sample(uint32_t aRank,
               SampleDepth aDepth,
               IGroupPort::OnSample aOnSample);
@@ -39,8 +40,13 @@
     std::string mAddress;
     std::shared_ptr<EngineClient> mEngine;
     global::TimePoint mBypassedUntil{};
+    global::TimePoint mNextReadTime{};
   };
 
+  void Read(uint32_t aRank,
+            SampleDepth aDepth,
+            const IGroupPort::OnSample& aOnSample);
+
   /** Returns null if the address of the rank's engine is not known. */
   std::shared_ptr<EngineClient> FindEngine(uint32_t aRank);
 
--- a/src/rankagent/tests/peerenginestest.cpp
+++ b/src/rankagent/tests/peerenginestest.cpp
@@ -85,6 +85,16 @@
   LocalEngine mAnswering{ true };
   LocalEngine mSilent{ false };
   PeerEngines mEngines{ mClock, mCodec };
+  int mReads = 0;
+
+  void ReadAgain(int aReads)
+  {
+    mEngines.Sample(kRank, SampleDepth::State, [this, aReads](const auto&) {
+      if (++mReads < aReads) {
+        ReadAgain(aReads);
+      }
+    });
+  }
 };
 
 TEST(PeerEngines, MarksWhatItReadsAsLagging)
@@ -117,3 +127,16 @@
 
   CHECK(ProcessEventsUntil([&] { return outcomes == 2; }));
 }
+
+TEST(PeerEngines, TheReadsOfAChangeLastLongerThanAReportLags)
+{
+  constexpr int kReadsOfAChange = 12;
+  constexpr milliseconds kLag{ 300 };
+  mEngines.SetEngineAddress(kRank, mAnswering.Address());
+  const auto begin = mClock.Now();
+
+  ReadAgain(kReadsOfAChange);
+
+  CHECK(ProcessEventsUntil([&] { return mReads == kReadsOfAChange; }));
+  CHECK(mClock.Now() - begin > kLag);
+}
