Take no round of a group that the local rank has left

What callers would see: a hold or a switch in a group by the wrong rank, or a crash of the agent. Suspected only.

Cause: at the end of a round the leader looked up its own rank, as of that moment, in the states of a round that began earlier. If its engine had moved to another group, that was another rank, or none of the round.

Evidence: GivesNoOrderToAGroupThatItsRankHasLeft failed before: 6 orders to the group that the rank had left.

Why it works: a round counts only if the state that was read of the own rank has the group and epoch that the local rank has now.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -177,7 +177,7 @@
       mSampler.HasGroupChanged(mLocalRank->mGroup, mPreparingEpoch)) {
     AbandonMap("the group has changed");
   }
-  if (!mSampler.IsConsistent()) {
+  if (!mSampler.IsConsistent() || !IsRoundOfOwnGroup()) {
     if (mPreparingVersion != 0 && mClock.Now() >= mPrepareDeadline) {
       AbandonMap("ranks cannot be read");
     }
@@ -203,6 +203,16 @@
   Plan();
 }
 
+bool
+GroupLeader::IsRoundOfOwnGroup() const
+{
+  if (mLocalRank->mRank >= mSampler.All().size()) {
+    return false;
+  }
+  const RankState& own = mSampler.State(mLocalRank->mRank);
+  return own.mGroup == mLocalRank->mGroup && own.mEpoch == mLocalRank->mEpoch;
+}
+
 void
 GroupLeader::AbandonMap(const std::string& aReason)
 {
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -56,6 +56,9 @@
   bool IsStandbyNeeded() const;
   void Tick();
   void FinishRound();
+  /** Whether the local rank still belongs to the group that was read. Only if
+   * all ranks were read. */
+  bool IsRoundOfOwnGroup() const;
   void AbandonMap(const std::string& aReason);
   /** Interval between sampling rounds, depending on the size of the group. */
   milliseconds RoundInterval() const;
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -47,6 +47,7 @@
         return aRank.mHeldStep != 0;
       });
   }
+  int Orders() const { return mOrders; }
   int PrepareOrders() const { return mPrepareOrders; }
   /** Orders to prepare are not answered from now on, and another leader
    * prepares a version above the first one. */
@@ -73,6 +74,7 @@
              const RankOrder& aOrder,
              OnOutcome aOnOutcome) override
   {
+    ++mOrders;
     const bool isPrepare = aOrder.mOperation == RankOperation::Prepare;
     mPrepareOrders += isPrepare ? 1 : 0;
     if (isPrepare && mDelaysPrepareOrders) {
@@ -123,6 +125,7 @@
   }
 
   std::vector<RankState> mRanks;
+  int mOrders = 0;
   int mPrepareOrders = 0;
   bool mDelaysPrepareOrders = false;
   std::map<uint64_t, int> mDelayedOrders;
@@ -220,6 +223,26 @@
   LONGS_EQUAL(orders, mGroup.PrepareOrders());
 }
 
+TEST(GroupLeader, GivesNoOrderToAGroupThatItsRankHasLeft)
+{
+  // Arrange: the local rank moves to another group while a pass is held.
+  constexpr milliseconds kObservation{ 1000 };
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mReader.stop();
+  mGroup.Freeze();
+  mGroup.Rank(0).mHeldStep = mGroup.Step() + 1;
+  RankState moved = mGroup.Rank(1);
+  moved.mGroup = "other";
+
+  // Act
+  mLeader.SetRank(moved);
+
+  // Assert
+  const QDeadlineTimer end(kObservation);
+  ProcessEventsUntil([&] { return end.hasExpired(); });
+  LONGS_EQUAL(0, mGroup.Orders());
+}
+
 TEST(GroupLeader, GivesTheVersionOfAFailedChangeToNoOther)
 {
   // Arrange: another leader leaves a hold and no order to prepare is answered.
