Avoid endpoints whose agent has fallen silent

Callers whose requests went to a frozen machine left without an answer, long after it had frozen.

An endpoint now counts as silent if its agent's last report is 0.8 s older than the latest of any agent, and comes after all others, as an unreachable one does. A gateway that hears from nobody thinks nobody silent; endpoints without an agent never are.

EndpointBalancer.AFrozenEndpointLooksIdle chose "frozen" before.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -97,6 +97,9 @@
   void RecordSent(const std::string& aEndpoint);
   void RecordOutcome(const std::string& aEndpoint, EndpointOutcome aOutcome);
   int Outstanding(const std::string& aEndpoint) const;
+  /** Whether the reports of the endpoint's agent have stopped while those of
+   * other agents go on: its machine is probably frozen, dead or cut off. */
+  bool IsSilent(const std::string& aEndpoint) const;
 
 private:
   struct EndpointStats
@@ -128,6 +131,7 @@
                const PlacementRequest& aRequest) const;
   /** Returns the best of a few candidates drawn at random. */
   const published::Endpoint* PickFromSample(std::vector<Candidate> aCandidates);
+  bool IsSilent(const EndpointStats& aStats) const;
   bool IsColdLimitReached(const EndpointStats& aStats,
                           const published::Endpoint& aEndpoint,
                           const published::Pool& aPool) const;
@@ -143,6 +147,8 @@
   /** Rank of this gateway among all for each endpoint, computed on demand. */
   mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
+  /** When the latest report of any endpoint was received. */
+  global::TimePoint mLatestReportAt{};
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds kColdLimitWindow{ 1150 };
 /** Penalty for a recent failure, relative to a fully loaded endpoint. */
 constexpr double kFailurePenalty = 0.5;
+/** Penalty for an endpoint that is unreachable or silent, which puts it after
+ * any other. */
+constexpr double kAvoidPenalty = 2;
 /** Penalty for another zone, which adds latency and costs traffic. */
 constexpr double kOtherZonePenalty = 0.08;
 /** Number of candidates drawn at random, of which the best is selected. Reports
@@ -51,6 +54,7 @@
 {
   EndpointStats& stats = mEndpointStats[aEndpoint];
   stats.mReport = aReport;
+  mLatestReportAt = std::max(mLatestReportAt, aReport.mReceivedAt);
   stats.mOutstandingAtReport = stats.mOutstanding;
 }
 
@@ -118,9 +122,10 @@
     aEndpoint.mAvailabilityZone != aRequest.mAvailabilityZone;
   const double slowdown =
     aStats.mReport ? std::max(1.0, aStats.mReport->mSlowdown) : 1.0;
+  const bool isAvoided = mClock.Now() < aStats.mAvoidUntil || IsSilent(aStats);
   return (EstimatedRequests(aStats) + 1) * slowdown / aEndpoint.mSlots +
          FailureScore(aStats) * kFailurePenalty +
-         (mClock.Now() < aStats.mAvoidUntil ? 2 : 0) +
+         (isAvoided ? kAvoidPenalty : 0) +
          (isOtherZone ? kOtherZonePenalty : 0);
 }
 
@@ -183,6 +188,20 @@
   return it == mEndpointStats.end() ? 0 : it->second.mOutstanding;
 }
 
+bool
+EndpointBalancer::IsSilent(const std::string& aEndpoint) const
+{
+  const auto it = mEndpointStats.find(aEndpoint);
+  return it != mEndpointStats.end() && IsSilent(it->second);
+}
+
+bool
+EndpointBalancer::IsSilent(const EndpointStats& aStats) const
+{
+  return aStats.mReport &&
+         mLatestReportAt - aStats.mReport->mReceivedAt > kMaxReportAge;
+}
+
 bool
 EndpointBalancer::IsColdLimitReached(const EndpointStats& aStats,
                                      const published::Endpoint& aEndpoint,
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -198,6 +198,18 @@
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
 }
 
+TEST(EndpointBalancer, AFrozenEndpointLooksIdle)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("frozen"), EndpointNamed("busy", "b") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("busy", { 3, true, 1, mClock.Now() });
+
+  STRCMP_EQUAL("busy",
+               mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+}
+
 TEST(EndpointBalancer, SendsLessToAnEndpointThatHasTurnedSlow)
 {
   const auto snapshot =
