Move streams from silent endpoints while their callers still wait

Callers of streams at a machine that froze were lost: they leave after 2 s without an event, the gateway gave the endpoint up after 1.75 s, and the next endpoint needs 0.2 s and more to its first event. The frozen endpoint sees no close before it wakes, so its runs went on after their callers had left.

An attempt is now given up after 0.7 s without data if the endpoint's agent is silent too. An endpoint that is merely quiet keeps its 1.75 s, which cover the stall of a group.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -27,6 +27,12 @@
  * endpoint. Longer than the stall of a group, and shorter than the 2 s after
  * which callers disconnect. */
 constexpr milliseconds kStreamIdleTimeout{ 1750 };
+/** The same for an endpoint whose agent is silent too. Leaves the caller time
+ * for an answer from another endpoint. */
+constexpr milliseconds kSilentEndpointTimeout{ 700 };
+/** Time until the next look at an endpoint that has sent no data for so long.
+ */
+constexpr milliseconds kSilenceCheckInterval{ 100 };
 /** Fraction of the request's timeout after which an idempotent request without
  * a response is retried on another endpoint. */
 constexpr double kIdempotentTimeoutFraction = 0.35;
@@ -51,6 +57,16 @@
 /** Requests that may be queued in one gateway. */
 constexpr size_t kMaxQueuedRequests = 64;
 
+/** Time until the next look at an attempt that has sent no data for aAge and is
+ * given up after aLimit, or sooner if its endpoint's agent falls silent. */
+milliseconds
+TimeToNextCheck(milliseconds aAge, milliseconds aLimit)
+{
+  const milliseconds untilSilent =
+    std::max(kSilentEndpointTimeout - aAge, kSilenceCheckInterval);
+  return std::min(aLimit - aAge, untilSilent);
+}
+
 }
 
 Exchange::Exchange(TrafficContext& aContext,
@@ -529,13 +545,9 @@
   const bool isForwarded = mAttempt->mIsForwarded;
   const auto since = isForwarded ? mResponse.LastForward() : mAttempt->mSentAt;
   const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
-  const milliseconds limit =
-    IsEventStream() || isForwarded
-      ? kStreamIdleTimeout
-      : duration_cast<milliseconds>((mDeadline - mRequest.mArrival) *
-                                    kIdempotentTimeoutFraction);
+  const milliseconds limit = AttemptTimeout();
   if (age < limit) {
-    mAttemptTimer.start(limit - age);
+    mAttemptTimer.start(TimeToNextCheck(age, limit));
     return;
   }
   // While data is pending, the pause may be due to a caller that reads slowly.
@@ -558,6 +570,19 @@
   PlaceRequest();
 }
 
+milliseconds
+Exchange::AttemptTimeout() const
+{
+  const milliseconds timeout =
+    IsEventStream() || mAttempt->mIsForwarded
+      ? kStreamIdleTimeout
+      : duration_cast<milliseconds>((mDeadline - mRequest.mArrival) *
+                                    kIdempotentTimeoutFraction);
+  return mContext.mBalancer.IsSilent(mAttempt->mEndpoint.mId)
+           ? std::min(timeout, kSilentEndpointTimeout)
+           : timeout;
+}
+
 void
 Exchange::HandleDeadline()
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -70,6 +70,8 @@
   void HandleNotExecuted();
   void HandleBrokenAttempt(const std::string& aReason);
   void HandleAttemptTimeout();
+  /** Time without data after which the attempt is given up. */
+  milliseconds AttemptTimeout() const;
   void HandleDeadline();
 
   bool IsEventStream() const;
