--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -210,6 +210,75 @@
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
 }
 
+TEST(EndpointBalancer, AFrozenEndpointOfAStalledGroupLooksOpen)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("frozen"), EndpointNamed("stalled") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("stalled", { 3, false, 1, mClock.Now() });
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::AtCapacity);
+}
+
+TEST(EndpointBalancer, TwoFrozenEndpointsAreDrawnTogether)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("frozen1"),
+                                     EndpointNamed("frozen2"),
+                                     EndpointNamed("alive", "b") });
+  mBalancer.RecordReport("frozen1", { 0, true, 1, mClock.Now() });
+  mBalancer.RecordReport("frozen2", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("alive", { 3, true, 1, mClock.Now() });
+
+  for (int i = 0; i < 50; ++i) {
+    STRCMP_EQUAL("alive",
+                 mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+  }
+}
+
+TEST(EndpointBalancer, AFrozenEndpointGetsWhatTheOthersHaveNoRoomFor)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("frozen"), EndpointNamed("full") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("full", { 100, true, 1, mClock.Now() });
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::AtCapacity);
+}
+
+TEST(EndpointBalancer, ARetryGoesToAnEndpointThatFrozeAtTheSameTime)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("frozen"),
+                                     EndpointNamed("frozenToo"),
+                                     EndpointNamed("alive", "b") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  // Agents report in turn, four times a second each.
+  mClock.Advance(milliseconds(150));
+  mBalancer.RecordReport("frozenToo", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(660));
+  mBalancer.RecordReport("alive", { 3, true, 1, mClock.Now() });
+  mRequest.mTriedEndpoints = { "frozen" };
+
+  CHECK(mBalancer.IsSilent("frozen"));
+  STRCMP_EQUAL("alive",
+               mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+}
+
+TEST(EndpointBalancer, UsesSilentEndpointsIfNoneOfThePoolReports)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("x") });
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("otherPool", { 0, true, 1, mClock.Now() });
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::Chosen);
+}
+
 TEST(EndpointBalancer, SendsLessToAnEndpointThatHasTurnedSlow)
 {
   const auto snapshot =
