Revert "Send nothing to silent endpoints while others of their pool report"

When a group has formed again after a cut, agents report again one by one, within half a second; with all others excluded, every gateway sent what had waited to the first one that reported.

--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -12,10 +12,6 @@
 
 /** Age beyond which a report no longer reflects the current load. */
 constexpr milliseconds kMaxReportAge{ 800 };
-/** Delay behind the latest report of any agent from which an endpoint gets no
- * more requests. Below the age at which attempts are given up, so that those
- * are not sent to an endpoint that has frozen at the same time. */
-constexpr milliseconds kMaxReportDelay{ 600 };
 constexpr milliseconds kFailureHalfLife{ 2000 };
 /** Time for which an unreachable endpoint is avoided. */
 constexpr milliseconds kUnreachableAvoidTime{ 700 };
@@ -24,7 +20,8 @@
 constexpr milliseconds kColdLimitWindow{ 1150 };
 /** Penalty for a recent failure, relative to a fully loaded endpoint. */
 constexpr double kFailurePenalty = 0.5;
-/** Penalty for an endpoint that was unreachable a moment ago. */
+/** Penalty for an endpoint that is unreachable or silent, which puts it after
+ * any other. */
 constexpr double kAvoidPenalty = 2;
 /** Penalty for another zone, which adds latency and costs traffic. */
 constexpr double kOtherZonePenalty = 0.08;
@@ -83,7 +80,6 @@
   }
   std::vector<Candidate> candidates;
   bool hasUntried = false;
-  const bool hasReports = HasFreshReports(aSnapshot, aRequest.mPool);
   for (const published::Endpoint* endpoint :
        aSnapshot.UsableEndpoints(aRequest.mPool)) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId)) {
@@ -91,8 +87,7 @@
     }
     hasUntried = true;
     const EndpointStats& stats = mEndpointStats[endpoint->mId];
-    const bool isLate = hasReports && ReportDelay(stats) > kMaxReportDelay;
-    if (!isLate && HasCapacity(stats, *endpoint, *pool)) {
+    if (HasCapacity(stats, *endpoint, *pool)) {
       candidates.push_back({ endpoint, Score(stats, *endpoint, aRequest) });
     }
   }
@@ -111,7 +106,9 @@
 {
   const double capacity =
     aEndpoint.mSlots * (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
-  const bool isClosed = HasFreshReport(aStats) && !aStats.mReport->mIsOpen;
+  const bool isClosed =
+    aStats.mReport && !aStats.mReport->mIsOpen &&
+    mClock.Now() - aStats.mReport->mReceivedAt < kMaxReportAge;
   return EstimatedRequests(aStats) < capacity && !isClosed &&
          !IsColdLimitReached(aStats, aEndpoint, aPool);
 }
@@ -125,31 +122,13 @@
     aEndpoint.mAvailabilityZone != aRequest.mAvailabilityZone;
   const double slowdown =
     aStats.mReport ? std::max(1.0, aStats.mReport->mSlowdown) : 1.0;
+  const bool isAvoided = mClock.Now() < aStats.mAvoidUntil || IsSilent(aStats);
   return (EstimatedRequests(aStats) + 1) * slowdown / aEndpoint.mSlots +
          FailureScore(aStats) * kFailurePenalty +
-         (mClock.Now() < aStats.mAvoidUntil ? kAvoidPenalty : 0) +
+         (isAvoided ? kAvoidPenalty : 0) +
          (isOtherZone ? kOtherZonePenalty : 0);
 }
 
-bool
-EndpointBalancer::HasFreshReports(const published::Snapshot& aSnapshot,
-                                  const std::string& aPool) const
-{
-  const auto endpoints = aSnapshot.UsableEndpoints(aPool);
-  return std::any_of(
-    endpoints.begin(), endpoints.end(), [this](const auto* aEndpoint) {
-      const auto it = mEndpointStats.find(aEndpoint->mId);
-      return it != mEndpointStats.end() && HasFreshReport(it->second);
-    });
-}
-
-bool
-EndpointBalancer::HasFreshReport(const EndpointStats& aStats) const
-{
-  return aStats.mReport &&
-         mClock.Now() - aStats.mReport->mReceivedAt < kMaxReportAge;
-}
-
 const published::Endpoint*
 EndpointBalancer::PickFromSample(std::vector<Candidate> aCandidates)
 {
@@ -213,14 +192,14 @@
 EndpointBalancer::IsSilent(const std::string& aEndpoint) const
 {
   const auto it = mEndpointStats.find(aEndpoint);
-  return it != mEndpointStats.end() && ReportDelay(it->second) > kMaxReportAge;
+  return it != mEndpointStats.end() && IsSilent(it->second);
 }
 
-global::TimePoint::duration
-EndpointBalancer::ReportDelay(const EndpointStats& aStats) const
+bool
+EndpointBalancer::IsSilent(const EndpointStats& aStats) const
 {
-  return aStats.mReport ? mLatestReportAt - aStats.mReport->mReceivedAt
-                        : global::TimePoint::duration::zero();
+  return aStats.mReport &&
+         mLatestReportAt - aStats.mReport->mReceivedAt > kMaxReportAge;
 }
 
 bool
@@ -262,7 +241,8 @@
 EndpointBalancer::EstimatedRequests(const EndpointStats& aStats) const
 {
   const double own = aStats.mOutstanding;
-  if (!HasFreshReport(aStats)) {
+  if (!aStats.mReport ||
+      mClock.Now() - aStats.mReport->mReceivedAt > kMaxReportAge) {
     return own;
   }
   const double change = aStats.mOutstanding - aStats.mOutstandingAtReport;
