Retry at endpoints whose agents still report

Machines that freeze together are noticed one after the other, since their last reports are up to a quarter of a second apart. A request that was moved from one frozen endpoint went to the next one, which nobody thought silent yet, and its caller left: with two attempts it never reached a live endpoint. The penalty for silent endpoints does not keep two of them from being drawn together either.

A retry now goes only to endpoints whose report is at most 0.6 s behind the latest of any agent; 0.2 s less than the age at which an attempt is given up. If nobody of the pool reports, retries go anywhere. First attempts may still be sent to a silent endpoint, so that those which report again after a cut are not flooded by all that has waited.

EndpointBalancer.ARetryGoesToAnEndpointThatFrozeAtTheSameTime chose "frozenToo" before; ARetryUsesSilentEndpointsIfNoneOfThePoolReports holds before and after.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -129,9 +129,17 @@
   double Score(const EndpointStats& aStats,
                const published::Endpoint& aEndpoint,
                const PlacementRequest& aRequest) const;
+  /** Whether the agent of any endpoint of the pool reports. */
+  bool HasFreshReports(const published::Snapshot& aSnapshot,
+                       const std::string& aPool) const;
   /** Returns the best of a few candidates drawn at random. */
   const published::Endpoint* PickFromSample(std::vector<Candidate> aCandidates);
   bool IsSilent(const EndpointStats& aStats) const;
+  /** Whether the endpoint's report is recent enough to be believed. */
+  bool HasFreshReport(const EndpointStats& aStats) const;
+  /** How much older the endpoint's report is than the latest of any; zero if
+   * it has none. */
+  global::TimePoint::duration ReportDelay(const EndpointStats& aStats) const;
   bool IsColdLimitReached(const EndpointStats& aStats,
                           const published::Endpoint& aEndpoint,
                           const published::Pool& aPool) const;
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -12,6 +12,10 @@
 
 /** Age beyond which a report no longer reflects the current load. */
 constexpr milliseconds kMaxReportAge{ 800 };
+/** Delay behind the latest report of any agent from which an endpoint gets no
+ * retries. Below the age at which attempts are given up, so that those are not
+ * sent to an endpoint that has frozen at the same time. */
+constexpr milliseconds kMaxReportDelayForRetries{ 600 };
 constexpr milliseconds kFailureHalfLife{ 2000 };
 /** Time for which an unreachable endpoint is avoided. */
 constexpr milliseconds kUnreachableAvoidTime{ 700 };
@@ -80,6 +84,8 @@
   }
   std::vector<Candidate> candidates;
   bool hasUntried = false;
+  const bool needsReport = !aRequest.mTriedEndpoints.empty() &&
+                           HasFreshReports(aSnapshot, aRequest.mPool);
   for (const published::Endpoint* endpoint :
        aSnapshot.UsableEndpoints(aRequest.mPool)) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId)) {
@@ -87,7 +93,9 @@
     }
     hasUntried = true;
     const EndpointStats& stats = mEndpointStats[endpoint->mId];
-    if (HasCapacity(stats, *endpoint, *pool)) {
+    const bool isLate =
+      needsReport && ReportDelay(stats) > kMaxReportDelayForRetries;
+    if (!isLate && HasCapacity(stats, *endpoint, *pool)) {
       candidates.push_back({ endpoint, Score(stats, *endpoint, aRequest) });
     }
   }
@@ -106,9 +114,7 @@
 {
   const double capacity =
     aEndpoint.mSlots * (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
-  const bool isClosed =
-    aStats.mReport && !aStats.mReport->mIsOpen &&
-    mClock.Now() - aStats.mReport->mReceivedAt < kMaxReportAge;
+  const bool isClosed = HasFreshReport(aStats) && !aStats.mReport->mIsOpen;
   return EstimatedRequests(aStats) < capacity && !isClosed &&
          !IsColdLimitReached(aStats, aEndpoint, aPool);
 }
@@ -129,6 +135,25 @@
          (isOtherZone ? kOtherZonePenalty : 0);
 }
 
+bool
+EndpointBalancer::HasFreshReports(const published::Snapshot& aSnapshot,
+                                  const std::string& aPool) const
+{
+  const auto endpoints = aSnapshot.UsableEndpoints(aPool);
+  return std::any_of(
+    endpoints.begin(), endpoints.end(), [this](const auto* aEndpoint) {
+      const auto it = mEndpointStats.find(aEndpoint->mId);
+      return it != mEndpointStats.end() && HasFreshReport(it->second);
+    });
+}
+
+bool
+EndpointBalancer::HasFreshReport(const EndpointStats& aStats) const
+{
+  return aStats.mReport &&
+         mClock.Now() - aStats.mReport->mReceivedAt < kMaxReportAge;
+}
+
 const published::Endpoint*
 EndpointBalancer::PickFromSample(std::vector<Candidate> aCandidates)
 {
@@ -198,8 +223,14 @@
 bool
 EndpointBalancer::IsSilent(const EndpointStats& aStats) const
 {
-  return aStats.mReport &&
-         mLatestReportAt - aStats.mReport->mReceivedAt > kMaxReportAge;
+  return ReportDelay(aStats) > kMaxReportAge;
+}
+
+global::TimePoint::duration
+EndpointBalancer::ReportDelay(const EndpointStats& aStats) const
+{
+  return aStats.mReport ? mLatestReportAt - aStats.mReport->mReceivedAt
+                        : global::TimePoint::duration::zero();
 }
 
 bool
@@ -241,8 +272,7 @@
 EndpointBalancer::EstimatedRequests(const EndpointStats& aStats) const
 {
   const double own = aStats.mOutstanding;
-  if (!aStats.mReport ||
-      mClock.Now() - aStats.mReport->mReceivedAt > kMaxReportAge) {
+  if (!HasFreshReport(aStats)) {
     return own;
   }
   const double change = aStats.mOutstanding - aStats.mOutstandingAtReport;
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -210,6 +210,36 @@
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
 }
 
+TEST(EndpointBalancer, ARetryGoesToAnEndpointThatFrozeAtTheSameTime)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("frozen"),
+                                     EndpointNamed("frozenToo"),
+                                     EndpointNamed("alive", "b") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  // Agents report in turn, four times a second each.
+  mClock.Advance(milliseconds(150));
+  mBalancer.RecordReport("frozenToo", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(660));
+  mBalancer.RecordReport("alive", { 3, true, 1, mClock.Now() });
+  mRequest.mTriedEndpoints = { "frozen" };
+
+  CHECK(mBalancer.IsSilent("frozen"));
+  STRCMP_EQUAL("alive",
+               mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+}
+
+TEST(EndpointBalancer, ARetryUsesSilentEndpointsIfNoneOfThePoolReports)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("x"), EndpointNamed("y") });
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("otherPool", { 0, true, 1, mClock.Now() });
+  mRequest.mTriedEndpoints = { "y" };
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::Chosen);
+}
+
 TEST(EndpointBalancer, SendsLessToAnEndpointThatHasTurnedSlow)
 {
   const auto snapshot =
