Tell a frozen endpoint from one whose agent or group stands still

An endpoint counted as silent as soon as its agent's reports stopped. In a group that stands still requests were moved though no other endpoint could serve them.

Silent is now an endpoint that neither reports nor has sent a part of a response for 0.5 s, while others do both.

EndpointBalancer.AnEndpointWithoutItsAgentIsTakenForFrozen and AnEndpointOfAHeldGroupIsTakenForFrozen fail without it. The test of the gateway has a second stream now, since an endpoint is silent only beside one that sends.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -97,8 +97,10 @@
   void RecordSent(const std::string& aEndpoint);
   void RecordOutcome(const std::string& aEndpoint, EndpointOutcome aOutcome);
   int Outstanding(const std::string& aEndpoint) const;
-  /** Whether the reports of the endpoint's agent have stopped while those of
-   * other agents go on: its machine is probably frozen, dead or cut off. */
+  /** Records that the endpoint has sent a part of a response. */
+  void RecordData(const std::string& aEndpoint);
+  /** Whether neither the endpoint sends data nor its agent reports, while
+   * others do both: its machine is probably frozen, dead or cut off. */
   bool IsSilent(const std::string& aEndpoint) const;
 
 private:
@@ -113,6 +115,8 @@
     /** Latest report, of any age. */
     std::optional<LoadReport> mReport;
     int mOutstandingAtReport = 0;
+    /** When the endpoint last sent a part of a response. */
+    std::optional<global::TimePoint> mDataAt;
   };
 
   struct Candidate
@@ -157,6 +161,8 @@
   std::map<std::string, EndpointStats> mEndpointStats;
   /** When the latest report of any endpoint was received. */
   global::TimePoint mLatestReportAt{};
+  /** When any endpoint with an agent last sent a part of a response. */
+  global::TimePoint mLatestDataAt{};
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -12,6 +12,9 @@
 
 /** Age beyond which a report no longer reflects the current load. */
 constexpr milliseconds kMaxReportAge{ 800 };
+/** Age beyond which data of a response no longer shows that its endpoint, or
+ * the group that it belongs to, is at work. */
+constexpr milliseconds kMaxDataAge{ 500 };
 /** Delay behind the latest report of any agent from which an endpoint gets no
  * retries. Below the age at which attempts are given up, so that those are not
  * sent to an endpoint that has frozen at the same time. */
@@ -223,7 +226,20 @@
 bool
 EndpointBalancer::IsSilent(const EndpointStats& aStats) const
 {
-  return ReportDelay(aStats) > kMaxReportAge;
+  const bool doOthersSend = mClock.Now() - mLatestDataAt < kMaxDataAge;
+  const bool hasSent =
+    aStats.mDataAt && mLatestDataAt - *aStats.mDataAt < kMaxDataAge;
+  return doOthersSend && !hasSent && ReportDelay(aStats) > kMaxReportAge;
+}
+
+void
+EndpointBalancer::RecordData(const std::string& aEndpoint)
+{
+  EndpointStats& stats = mEndpointStats[aEndpoint];
+  stats.mDataAt = mClock.Now();
+  if (stats.mReport) {
+    mLatestDataAt = mClock.Now();
+  }
 }
 
 global::TimePoint::duration
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -292,6 +292,7 @@
   if (!mAttempt) {
     return;
   }
+  mContext.mBalancer.RecordData(mAttempt->mEndpoint.mId);
   if (mAttempt->mIsMismatched) {
     mAttempt->mDiscardedBytes += aBytes.size();
     if (mAttempt->mDiscardedBytes > kMaxDiscardedBytes) {
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -205,6 +205,7 @@
   mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
   mClock.Advance(milliseconds(900));
   mBalancer.RecordReport("busy", { 3, true, 1, mClock.Now() });
+  mBalancer.RecordData("busy");
 
   STRCMP_EQUAL("busy",
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
@@ -221,6 +222,7 @@
   mBalancer.RecordReport("frozenToo", { 0, true, 1, mClock.Now() });
   mClock.Advance(milliseconds(660));
   mBalancer.RecordReport("alive", { 3, true, 1, mClock.Now() });
+  mBalancer.RecordData("alive");
   mRequest.mTriedEndpoints = { "frozen" };
 
   CHECK(mBalancer.IsSilent("frozen"));
@@ -240,6 +242,30 @@
         PlacementStatus::Chosen);
 }
 
+TEST(EndpointBalancer, AnEndpointWithoutItsAgentIsTakenForFrozen)
+{
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("y", { 0, true, 1, mClock.Now() });
+  mBalancer.RecordData("y");
+  CHECK(mBalancer.IsSilent("x"));
+
+  mBalancer.RecordData("x");
+
+  CHECK(!mBalancer.IsSilent("x"));
+}
+
+TEST(EndpointBalancer, AnEndpointOfAHeldGroupIsTakenForFrozen)
+{
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(300));
+  mBalancer.RecordData("y");
+  mClock.Advance(milliseconds(700));
+  mBalancer.RecordReport("y", { 0, true, 1, mClock.Now() });
+
+  CHECK(!mBalancer.IsSilent("x"));
+}
+
 TEST(EndpointBalancer, SendsLessToAnEndpointThatHasTurnedSlow)
 {
   const auto snapshot =
