--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -102,6 +102,11 @@
   int Outstanding(const std::string& aEndpoint) const;
   /** What endpoints have said about taking requests; Choose respects it. */
   EndpointAvailability& Availability() { return mAvailability; }
+  /** Records that the endpoint has sent a part of a response. */
+  void RecordData(const std::string& aEndpoint);
+  /** Whether neither the endpoint sends data nor its agent reports, while
+   * others do both: its machine is probably frozen, dead or cut off. */
+  bool IsSilent(const std::string& aEndpoint) const;
 
 private:
   struct EndpointStats
@@ -115,6 +120,8 @@
     /** Latest report, of any age. */
     std::optional<LoadReport> mReport;
     int mOutstandingAtReport = 0;
+    /** When the endpoint last sent a part of a response. */
+    std::optional<global::TimePoint> mDataAt;
   };
 
   struct Candidate
@@ -131,8 +138,17 @@
   double Score(const EndpointStats& aStats,
                const published::Endpoint& aEndpoint,
                const PlacementRequest& aRequest) const;
+  /** Whether the agent of any endpoint of the pool reports. */
+  bool HasFreshReports(const published::Snapshot& aSnapshot,
+                       const std::string& aPool) const;
   /** Returns the best of a few candidates drawn at random. */
   const published::Endpoint* PickFromSample(std::vector<Candidate> aCandidates);
+  bool IsSilent(const EndpointStats& aStats) const;
+  /** Whether the endpoint's report is recent enough to be believed. */
+  bool HasFreshReport(const EndpointStats& aStats) const;
+  /** How much older the endpoint's report is than the latest of any; zero if
+   * it has none. */
+  global::TimePoint::duration ReportDelay(const EndpointStats& aStats) const;
   bool IsColdLimitReached(const EndpointStats& aStats,
                           const published::Endpoint& aEndpoint,
                           const published::Pool& aPool) const;
@@ -149,6 +165,10 @@
   mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
   EndpointAvailability mAvailability;
+  /** When the latest report of any endpoint was received. */
+  global::TimePoint mLatestReportAt{};
+  /** When any endpoint with an agent last sent a part of a response. */
+  global::TimePoint mLatestDataAt{};
 };
 
 }
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -198,6 +198,74 @@
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
 }
 
+TEST(EndpointBalancer, AFrozenEndpointLooksIdle)
+{
+  const auto snapshot =
+    SnapshotOf({ EndpointNamed("frozen"), EndpointNamed("busy", "b") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("busy", { 3, true, 1, mClock.Now() });
+  mBalancer.RecordData("busy");
+
+  STRCMP_EQUAL("busy",
+               mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+}
+
+TEST(EndpointBalancer, ARetryGoesToAnEndpointThatFrozeAtTheSameTime)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("frozen"),
+                                     EndpointNamed("frozenToo"),
+                                     EndpointNamed("alive", "b") });
+  mBalancer.RecordReport("frozen", { 0, true, 1, mClock.Now() });
+  // Agents report in turn, four times a second each.
+  mClock.Advance(milliseconds(150));
+  mBalancer.RecordReport("frozenToo", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(660));
+  mBalancer.RecordReport("alive", { 3, true, 1, mClock.Now() });
+  mBalancer.RecordData("alive");
+  mRequest.mTriedEndpoints = { "frozen" };
+
+  CHECK(mBalancer.IsSilent("frozen"));
+  STRCMP_EQUAL("alive",
+               mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
+}
+
+TEST(EndpointBalancer, ARetryUsesSilentEndpointsIfNoneOfThePoolReports)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("x"), EndpointNamed("y") });
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("otherPool", { 0, true, 1, mClock.Now() });
+  mRequest.mTriedEndpoints = { "y" };
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::Chosen);
+}
+
+TEST(EndpointBalancer, AnEndpointWithoutItsAgentIsTakenForFrozen)
+{
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(900));
+  mBalancer.RecordReport("y", { 0, true, 1, mClock.Now() });
+  mBalancer.RecordData("y");
+  CHECK(mBalancer.IsSilent("x"));
+
+  mBalancer.RecordData("x");
+
+  CHECK(!mBalancer.IsSilent("x"));
+}
+
+TEST(EndpointBalancer, AnEndpointOfAHeldGroupIsTakenForFrozen)
+{
+  mBalancer.RecordReport("x", { 0, true, 1, mClock.Now() });
+  mClock.Advance(milliseconds(300));
+  mBalancer.RecordData("y");
+  mClock.Advance(milliseconds(700));
+  mBalancer.RecordReport("y", { 0, true, 1, mClock.Now() });
+
+  CHECK(!mBalancer.IsSilent("x"));
+}
+
 TEST(EndpointBalancer, SendsLessToAnEndpointThatHasTurnedSlow)
 {
   const auto snapshot =
