--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -77,8 +77,9 @@
  *   start a pass during the clearing. The start of a pass invalidates all
  *   orders for it.
  *
- * Whether an order was executed is read from the rank, never inferred. The
- * class does no I/O: the caller sends the commands and passes in the answers.
+ * Whether an order was executed is read from the rank, never inferred. A state
+ * that may lag clears a rank only if what it shows stays true. The class does
+ * no I/O: the caller sends the commands and passes in the answers.
  */
 class MapChange
 {
