Weigh the time of copies when an expert map is planned

Cause: there an expert takes 0.4 s to copy (2,200 MB over 44 Gbit/s), and a rank copies one after the other. Plans counted each copy alike and bounded them by layer, so the busiest rank had 5 to 7 copies and a map came into force 2 to 3 s after its plan, when demand, which shifts every 3.1 s, had moved again. The log lines now say how many copies the busiest rank makes, how long they should take and how long they took.

DemandTracker tells how long demand has lately stayed. Counts are read while ranks copy, so a shift in that time is not missed.

--- a/src/rankagent/internal/demandtracker.cpp
+++ b/src/rankagent/internal/demandtracker.cpp
@@ -25,6 +25,13 @@
 /** Windows with fewer selections carry too little information and are ignored.
  */
 constexpr double kMinSelections = 200;
+/** Weight of an interval between two shifts in the expected one. */
+constexpr double kShiftIntervalWeight = 0.3;
+/** Interval that is expected before two shifts have been seen. */
+constexpr std::chrono::seconds kDefaultShiftInterval{ 10 };
+/** Demand that has stayed for long is expected to stay for at least this
+ * fraction of the interval. */
+constexpr int kMinStayDivisor = 3;
 
 double
 MeanDistance(const std::vector<rebalancing::Popularity>& aFrom,
@@ -78,7 +85,8 @@
 
 void
 DemandTracker::AddSamples(
-  const std::vector<std::optional<RankSample>>& aSamples)
+  const std::vector<std::optional<RankSample>>& aSamples,
+  global::TimePoint aNow)
 {
   const RankState& first = aSamples[0]->mState;
   if (mLastCounts.size() != aSamples.size() || mEpoch != first.mEpoch) {
@@ -92,12 +100,12 @@
     sum += std::accumulate(loads.begin(), loads.end(), 0.0);
   }
   if (sum >= kMinSelections) {
-    AddWindow(window);
+    AddWindow(window, aNow);
   }
 }
 
 void
-DemandTracker::AddWindow(const Windows& aWindow)
+DemandTracker::AddWindow(const Windows& aWindow, global::TimePoint aNow)
 {
   const double toEstimate = MeanDistance(mEstimate, aWindow);
   const double toLast = MeanDistance(mLastWindow, aWindow);
@@ -110,6 +118,7 @@
     LOGI("Demand for experts has shifted. distance="
          << toEstimate << " betweenWindows=" << toLast);
     mWindows = 0;
+    RecordShift(aNow);
   } else if (!mIsShifting && mWindows > 0) {
     const double steady = mSteadyDistance.value_or(toLast);
     mSteadyDistance = steady + kSteadyWeight * (toLast - steady);
@@ -123,4 +132,26 @@
   }
 }
 
+void
+DemandTracker::RecordShift(global::TimePoint aNow)
+{
+  if (mShiftedAt) {
+    const global::Duration interval = aNow - *mShiftedAt;
+    const global::Duration expected = mShiftInterval.value_or(interval);
+    mShiftInterval = expected + std::chrono::duration_cast<global::Duration>(
+                                  kShiftIntervalWeight * (interval - expected));
+  }
+  mShiftedAt = aNow;
+}
+
+global::Duration
+DemandTracker::ExpectedStay(global::TimePoint aNow) const
+{
+  const global::Duration interval =
+    mShiftInterval.value_or(kDefaultShiftInterval);
+  const global::Duration elapsed =
+    mShiftedAt ? aNow - *mShiftedAt : global::Duration::zero();
+  return std::max(interval - elapsed, interval / kMinStayDivisor);
+}
+
 }
--- a/src/rankagent/internal/demandtracker.h
+++ b/src/rankagent/internal/demandtracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/global/iclock.h"
 #include "rankagent/internal/groupport.h"
 #include "rebalancing/popularity.h"
 
@@ -19,12 +20,17 @@
 public:
   DemandTracker(size_t aLayers, size_t aExperts);
 
-  /** Adds one sample of every rank. Samples without counts are ignored. */
-  void AddSamples(const std::vector<std::optional<RankSample>>& aSamples);
+  /** Adds one sample of every rank, read at aNow. Samples without counts are
+   * ignored. */
+  void AddSamples(const std::vector<std::optional<RankSample>>& aSamples,
+                  global::TimePoint aNow);
   /** Whether demand shifted during the last window, which then mixes old and
    * new demand. The next window shows the new demand alone. */
   bool IsShifting() const { return mIsShifting; }
   bool HasDemand() const { return mWindows > 0; }
+  /** Time for which demand is expected to stay as it is, from the intervals
+   * between its last shifts. */
+  global::Duration ExpectedStay(global::TimePoint aNow) const;
   /** Smoothed number of selections per window of each expert of a layer. */
   const rebalancing::Loads& Demand(size_t aLayer) const
   {
@@ -36,7 +42,8 @@
 
   /** Returns the selections since the previous samples, by layer and expert. */
   Windows ComputeWindow(const std::vector<std::optional<RankSample>>& aSamples);
-  void AddWindow(const Windows& aWindow);
+  void AddWindow(const Windows& aWindow, global::TimePoint aNow);
+  void RecordShift(global::TimePoint aNow);
 
   const size_t mLayers;
   const size_t mExperts;
@@ -49,6 +56,9 @@
   /** Smoothed distance between consecutive windows of steady demand. */
   std::optional<double> mSteadyDistance;
   bool mIsShifting = false;
+  std::optional<global::TimePoint> mShiftedAt;
+  /** Smoothed interval between shifts. */
+  std::optional<global::Duration> mShiftInterval;
 };
 
 }
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -24,9 +24,10 @@
 /** Time after which no order of an earlier run of this process can be executed
  * any more: the platform delays orders by up to 12 s. */
 constexpr milliseconds kMaxOrderDelay{ 13000 };
+/** Time after the expected end of the copies at which a map is given up. */
 constexpr milliseconds kPrepareTimeout{ 3000 };
-/** Interval at which the order to prepare is repeated. Longer than the copy of
- * all experts that a single change may add. */
+/** Interval at which the order to prepare is repeated, from the expected end of
+ * the copies on. */
 constexpr milliseconds kPrepareRetryInterval{ 600 };
 /** Age at which a hold counts as abandoned, and time without a new pass after
  * which the second leader checks for an abandoned hold. A pass takes about
@@ -166,8 +167,14 @@
       mEngine->mExpertLayers == 0) {
     return;
   }
+  // Counts are not read more often while ranks prepare a map.
+  const auto now = mClock.Now();
+  const bool wantsCounts = mPreparingVersion == 0 || now >= mNextCountTime;
+  if (wantsCounts) {
+    mNextCountTime = now + CountInterval();
+  }
   mSampler.BeginRound(
-    mLocalRank->mSize, mPreparingVersion == 0, [this] { FinishRound(); });
+    mLocalRank->mSize, wantsCounts, [this] { FinishRound(); });
 }
 
 void
@@ -184,7 +191,7 @@
     return;
   }
   mHighestVersion = std::max(mHighestVersion, mSampler.HighestVersion());
-  mDemand->AddSamples(mSampler.All());
+  mDemand->AddSamples(mSampler.All(), mClock.Now());
   if (HandleHold()) {
     return;
   }
@@ -225,12 +232,25 @@
 milliseconds
 GroupLeader::RoundInterval() const
 {
-  const int size = mLocalRank ? static_cast<int>(mLocalRank->mSize) : 0;
   if (mPreparingVersion != 0) {
-    return std::max(kPrepareRoundInterval, kPrepareRoundIntervalPerRank * size);
+    return std::max(kPrepareRoundInterval,
+                    kPrepareRoundIntervalPerRank * GroupSize());
   }
-  return std::max(kRoundInterval,
-                  duration_cast<milliseconds>(kRoundIntervalPerRank * size));
+  return CountInterval();
+}
+
+milliseconds
+GroupLeader::CountInterval() const
+{
+  return std::max(
+    kRoundInterval,
+    duration_cast<milliseconds>(kRoundIntervalPerRank * GroupSize()));
+}
+
+int
+GroupLeader::GroupSize() const
+{
+  return mLocalRank ? static_cast<int>(mLocalRank->mSize) : 0;
 }
 
 void
@@ -305,7 +325,9 @@
       !mDemand->HasDemand() || current.empty()) {
     return;
   }
-  MapPlan plan = PlanMap(*mEngine, current, *mDemand, RankSlowdowns());
+  const auto now = mClock.Now();
+  const auto stay = mDemand->ExpectedStay(now);
+  MapPlan plan = PlanMap(*mEngine, current, *mDemand, RankSlowdowns(), stay);
   mMetrics.Set("beryllever_map_imbalance", plan.ImbalanceBefore());
   if (!plan.IsWorthwhile()) {
     LogSettled(plan);
@@ -315,13 +337,18 @@
   mPreparingVersion = NextVersion();
   mPreparingEpoch = mSampler.State(0).mEpoch;
   mPreparingMap = std::move(plan.mMap);
-  mPrepareDeadline = mClock.Now() + kPrepareTimeout;
-  mPrepareRetryTime = mClock.Now() + kPrepareRetryInterval;
+  mPreparingSince = now;
+  mPrepareDeadline = now + plan.mCopyTime + kPrepareTimeout;
+  mPrepareRetryTime = now + plan.mCopyTime + kPrepareRetryInterval;
   mUnansweredRanks.clear();
   LOGI("Preparing a better expert map. group="
        << mLocalRank->mGroup << " version=" << mPreparingVersion << " epoch="
        << mPreparingEpoch << " imbalanceBefore=" << plan.ImbalanceBefore()
-       << " imbalanceAfter=" << plan.ImbalanceAfter());
+       << " imbalanceAfter=" << plan.ImbalanceAfter()
+       << " copies=" << plan.mCopies << " copyMilliseconds="
+       << duration_cast<milliseconds>(plan.mCopyTime).count()
+       << " expectedStayMilliseconds="
+       << duration_cast<milliseconds>(stay).count());
   mPort.OrderAll(
     PrepareOrder(),
     [this, version = mPreparingVersion](uint32_t aRank, OrderOutcome aOutcome) {
@@ -403,6 +430,10 @@
   if (isReady) {
     const uint64_t step = NextStep();
     if (step <= mSampler.State(0).mStep + kMaxPassesAhead) {
+      LOGI("All ranks have prepared the map. group="
+           << mLocalRank->mGroup << " version=" << mPreparingVersion
+           << " milliseconds="
+           << duration_cast<milliseconds>(now - mPreparingSince).count());
       BeginChange({ .mVersion = mPreparingVersion, .mStep = step });
     }
     return;
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -62,6 +62,9 @@
   void AbandonMap(const std::string& aReason);
   /** Interval between sampling rounds, depending on the size of the group. */
   milliseconds RoundInterval() const;
+  /** Interval between reads of the selection counts. */
+  milliseconds CountInterval() const;
+  int GroupSize() const;
   void UpdateInterval();
   bool HandleHold();
   void ContinuePreparing();
@@ -103,6 +106,7 @@
   uint64_t mPreparingVersion = 0;
   uint64_t mPreparingEpoch = 0;
   ExpertMap mPreparingMap;
+  global::TimePoint mPreparingSince{};
   global::TimePoint mPrepareDeadline{};
   global::TimePoint mPrepareRetryTime{};
   /** Ranks whose last order to prepare was not answered. */
@@ -119,6 +123,7 @@
   /** When the local rank was first seen in its current pass. */
   global::TimePoint mStepSince{};
   global::TimePoint mNextPlanTime{};
+  global::TimePoint mNextCountTime{};
   /** The last plan was not worth a change. */
   bool mIsSettled = false;
 };
--- a/src/rankagent/internal/mapplanner.h
+++ b/src/rankagent/internal/mapplanner.h
@@ -16,6 +16,13 @@
   double mLoadAfter = 0;
   /** Load of each rank if all ranks were equally loaded. */
   double mEvenLoad = 0;
+  /** Fraction of the time of passes that the change saves while demand is
+   * expected to stay. */
+  double mSaving = 0;
+  /** Number of experts that the busiest rank has to copy. */
+  size_t mCopies = 0;
+  /** Time that the busiest rank needs to copy them. */
+  global::Duration mCopyTime{};
 
   double ImbalanceBefore() const { return Ratio(mLoadBefore); }
   double ImbalanceAfter() const { return Ratio(mLoadAfter); }
@@ -29,11 +36,13 @@
   }
 };
 
-/** Plans the next expert map of a group from the demand for its experts. */
+/** Plans the next expert map of a group from the demand for its experts, which
+ * is expected to stay as it is for aStay. */
 MapPlan
 PlanMap(const published::EngineProfile& aEngine,
         const ExpertMap& aCurrent,
         const DemandTracker& aDemand,
-        const std::vector<double>& aSlowdowns);
+        const std::vector<double>& aSlowdowns,
+        global::Duration aStay);
 
 }
--- a/src/rankagent/tests/mapplannertest.cpp
+++ b/src/rankagent/tests/mapplannertest.cpp
@@ -19,6 +19,7 @@
 constexpr int kPlacesPerRank = 5;
 /** Selections in a window of the ranks whose counts are read. */
 constexpr double kSelections = 500000;
+constexpr std::chrono::milliseconds kWindow{ 315 };
 /** Windows between two shifts: 4 s, as the leader samples 63 ranks every 315
  * ms. */
 constexpr int kWindowsPerShift = 13;
@@ -181,12 +182,16 @@
       }
       return;
     }
-    mTracker.AddSamples(aDemand.Sample());
+    mNow += kWindow;
+    mTracker.AddSamples(aDemand.Sample(), mNow);
     if (!mTracker.HasDemand() || mTracker.IsShifting()) {
       return;
     }
-    MapPlan plan =
-      PlanMap(Profile(), mMap, mTracker, std::vector<double>(kRanks, 1.0));
+    MapPlan plan = PlanMap(Profile(),
+                           mMap,
+                           mTracker,
+                           std::vector<double>(kRanks, 1.0),
+                           mTracker.ExpectedStay(mNow));
     if (plan.IsWorthwhile()) {
       mPlanned = std::move(plan.mMap);
       mWindowsToChange = kWindowsPerChange;
@@ -197,6 +202,7 @@
 
 private:
   DemandTracker mTracker{ kLayers, kExperts };
+  global::TimePoint mNow{};
   ExpertMap mMap = InitialMap();
   ExpertMap mPlanned;
   int mWindowsToChange = 0;
