Finish a log line that was written in part

Operators saw: lines torn in a burst ("rank: A rank'2026-02-18T...", large deployment, leader), and no word of the lines that were lost with it.

Cause: when standard output took no more, the rest of the text was thrown away in the middle of a line, and neither that line nor those behind it were counted.

The rest of a line that was begun is now written before the next ones, the lines behind it are dropped whole and counted, and the notice says how many.

ADescriptorThatTakesNoMoreTearsALine fails on the code before (a line of 199 characters in place of 99).

--- a/src/framework/log/boundedappender.h
+++ b/src/framework/log/boundedappender.h
@@ -29,7 +29,11 @@
 
 private:
   void Run();
-  void WriteAll(std::deque<std::string> aLines, uint64_t aDropped) const;
+  /** Writes whole lines only: a line that the descriptor takes in part is
+   * finished later, and those behind it are dropped and counted. */
+  void WriteAll(const std::deque<std::string>& aLines, uint64_t aDropped);
+  /** Returns whether all was written; keeps the rest to be written first. */
+  bool WriteOrKeep(const std::string& aText);
 
   const int mDescriptor;
   const size_t mMaxLines;
@@ -38,6 +42,11 @@
   std::deque<std::string> mLines;
   uint64_t mDropped = 0;
   bool mIsStopping = false;
+  /** Rest of a line that was written in part. For the writing thread only, as
+   * is the number below. */
+  std::string mUnfinished;
+  /** Lines that were dropped since the last notice of it. */
+  uint64_t mUnwritten = 0;
   std::thread mThread;
 };
 
--- a/src/framework/log/internal/boundedappender.cpp
+++ b/src/framework/log/internal/boundedappender.cpp
@@ -1,10 +1,12 @@
 #include "framework/log/boundedappender.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <sstream>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -15,8 +17,10 @@
 /** Lines are gathered for this long, so that a burst costs one write. */
 constexpr std::chrono::milliseconds kGather{ 20 };
 
-void
-WriteWhole(int aDescriptor, const std::string& aText)
+/** Returns the number of bytes that were written before the descriptor took no
+ * more. */
+size_t
+WriteSome(int aDescriptor, std::string_view aText)
 {
   size_t written = 0;
   while (written < aText.size()) {
@@ -26,11 +30,12 @@
       continue;
     }
     if (n <= 0) {
-      // Nobody reads the log any more; there is nowhere to say so.
-      return;
+      // Nobody reads the log now; there is nowhere to say so.
+      break;
     }
     written += static_cast<size_t>(n);
   }
+  return written;
 }
 
 }
@@ -94,24 +99,52 @@
     std::deque<std::string> lines = std::exchange(mLines, {});
     const uint64_t dropped = std::exchange(mDropped, 0);
     lock.unlock();
-    WriteAll(std::move(lines), dropped);
+    WriteAll(lines, dropped);
     lock.lock();
   }
 }
 
 void
-BoundedAppender::WriteAll(std::deque<std::string> aLines,
-                          uint64_t aDropped) const
+BoundedAppender::WriteAll(const std::deque<std::string>& aLines,
+                          uint64_t aDropped)
 {
+  mUnwritten += aDropped;
+  if (!WriteOrKeep(std::exchange(mUnfinished, {}))) {
+    mUnwritten += aLines.size();
+    return;
+  }
+  if (mUnwritten > 0) {
+    const std::string notice =
+      "WARN  log: Lines were dropped. lines=" + std::to_string(mUnwritten) +
+      "\n";
+    const uint64_t unwritten = std::exchange(mUnwritten, 0);
+    const bool isWritten = WriteOrKeep(notice);
+    if (mUnfinished.size() == notice.size()) {
+      mUnfinished.clear();
+      mUnwritten = unwritten;
+    }
+    if (!isWritten) {
+      mUnwritten += aLines.size();
+      return;
+    }
+  }
   std::string text;
   for (const std::string& line : aLines) {
     text += line;
   }
-  if (aDropped > 0) {
-    text +=
-      "WARN  log: Lines were dropped. lines=" + std::to_string(aDropped) + "\n";
-  }
-  WriteWhole(mDescriptor, text);
+  const size_t written = WriteSome(mDescriptor, text);
+  const bool isInsideLine = written > 0 && text[written - 1] != '\n';
+  const size_t end = isInsideLine ? text.find('\n', written) + 1 : written;
+  mUnfinished = text.substr(written, end - written);
+  mUnwritten += static_cast<uint64_t>(std::count(
+    text.begin() + static_cast<std::ptrdiff_t>(end), text.end(), '\n'));
+}
+
+bool
+BoundedAppender::WriteOrKeep(const std::string& aText)
+{
+  mUnfinished = aText.substr(WriteSome(mDescriptor, aText));
+  return mUnfinished.empty();
 }
 
 }
--- a/src/framework/log/tests/boundedappendertest.cpp
+++ b/src/framework/log/tests/boundedappendertest.cpp
@@ -5,7 +5,10 @@
 #include <chrono>
 #include <fcntl.h>
 #include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
 #include <log4cplus/loggingmacros.h>
+#include <sstream>
+#include <thread>
 #include <unistd.h>
 
 using namespace beryllever;
@@ -76,3 +79,43 @@
   closer.join();
   CHECK(text.find("Lines were dropped.") != std::string::npos);
 }
+
+TEST(BoundedAppender, ADescriptorThatTakesNoMoreTearsALine)
+{
+  constexpr int kLines = 2000;
+  fcntl(mPipe[1], F_SETFL, O_NONBLOCK);
+  log4cplus::SharedAppenderPtr appender(new log::BoundedAppender(mPipe[1]));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  Logger().addAppender(appender);
+  const std::string line(99, 'x');
+  std::string text;
+
+  // More than the pipe holds, which is read only after the burst.
+  for (int i = 0; i < kLines; ++i) {
+    LOG4CPLUS_INFO(Logger(), line);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  std::thread reader([&] { text = ReadAll(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  LOG4CPLUS_INFO(Logger(), line);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Logger().removeAllAppenders();
+  appender->close();
+  close(mPipe[1]);
+  reader.join();
+
+  std::istringstream lines(text);
+  int whole = 0;
+  int dropped = 0;
+  const std::string notice = "WARN  log: Lines were dropped. lines=";
+  for (std::string it; std::getline(lines, it);) {
+    if (it.starts_with(notice)) {
+      dropped += std::stoi(it.substr(notice.size()));
+      continue;
+    }
+    CHECK_EQUAL(line, it);
+    ++whole;
+  }
+  CHECK(dropped > 0);
+  LONGS_EQUAL(kLines + 1, whole + dropped);
+}
