--- a/src/rebalancing/internal/layersearch.cpp
+++ b/src/rebalancing/internal/layersearch.cpp
@@ -45,7 +45,11 @@
       mHolders[expert].push_back(rank);
     }
   }
-  ComputeRankLoads();
+  for (Expert expert = 0; expert < mHolders.size(); ++expert) {
+    if (!mHolders[expert].empty()) {
+      AddLoads(expert, 1);
+    }
+  }
 }
 
 size_t
@@ -60,18 +64,6 @@
   return mSlowdowns.empty() ? aLoad : aLoad * mSlowdowns[aRank];
 }
 
-void
-LayerSearch::ComputeRankLoads()
-{
-  std::fill(mRankLoads.begin(), mRankLoads.end(), 0.0);
-  for (Rank rank = 0; rank < mExpertsByRank.size(); ++rank) {
-    for (const Expert expert : mExpertsByRank[rank]) {
-      mRankLoads[rank] +=
-        WeightedLoad(rank, ShareOf(expert, mHolders[expert].size()));
-    }
-  }
-}
-
 std::optional<Candidate>
 LayerSearch::FindBest() const
 {
@@ -111,10 +103,14 @@
       ranks.push_back(rank);
     }
   }
-  std::sort(ranks.begin(), ranks.end(), [this](Rank aLeft, Rank aRight) {
-    return mRankLoads[aLeft] < mRankLoads[aRight];
-  });
-  ranks.resize(std::min(ranks.size(), kMaxTargets));
+  const size_t n = std::min(ranks.size(), kMaxTargets);
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(n),
+                    ranks.end(),
+                    [this](Rank aLeft, Rank aRight) {
+                      return mRankLoads[aLeft] < mRankLoads[aRight];
+                    });
+  ranks.resize(n);
   return ranks;
 }
 
@@ -221,14 +217,24 @@
       Add(aCandidate.mSource, *aCandidate.mDropped);
     }
   }
-  ComputeRankLoads();
+}
+
+void
+LayerSearch::AddLoads(Expert aExpert, double aSign)
+{
+  const double share = ShareOf(aExpert, mHolders[aExpert].size());
+  for (const Rank rank : mHolders[aExpert]) {
+    mRankLoads[rank] += aSign * WeightedLoad(rank, share);
+  }
 }
 
 void
 LayerSearch::Add(Rank aRank, Expert aExpert)
 {
+  AddLoads(aExpert, -1);
   mExpertsByRank[aRank].push_back(aExpert);
   mHolders[aExpert].push_back(aRank);
+  AddLoads(aExpert, 1);
   if (!Contains(mCurrent[aRank], aExpert)) {
     ++mNewCounts[aRank];
     mBudget.Take(aRank);
@@ -238,8 +244,10 @@
 void
 LayerSearch::Remove(Rank aRank, Expert aExpert)
 {
+  AddLoads(aExpert, -1);
   std::erase(mExpertsByRank[aRank], aExpert);
   std::erase(mHolders[aExpert], aRank);
+  AddLoads(aExpert, 1);
   if (!Contains(mCurrent[aRank], aExpert)) {
     --mNewCounts[aRank];
     mBudget.Return(aRank);
--- a/src/rebalancing/internal/layersearch.h
+++ b/src/rebalancing/internal/layersearch.h
@@ -68,7 +68,9 @@
   }
   /** Returns the load of a rank weighted by its slowdown. */
   double WeightedLoad(Rank aRank, double aLoad) const;
-  void ComputeRankLoads();
+  /** Adds the shares of an expert to the loads of the ranks that hold it, or
+   * takes them away if aSign is -1. */
+  void AddLoads(Expert aExpert, double aSign);
   std::vector<Rank> LeastLoadedRanks(Rank aHottest) const;
   bool CanReceive(Rank aRank, Expert aExpert) const;
   void EvaluateTarget(Rank aTarget, Expert aExpert, Candidate& aBest) const;
