Tell a large group's leader and its agents only what has changed

Cause: the leader filled its own link of 6 Mbit/s. Each round of readings carried the cumulative counts of 12 ranks (4,128 numbers each) and the places of 129; a map went whole to each of 12 relays. Reads behind that timed out, their engines were asked over the same link, and it stayed full: "unread=128 of=129" for 1 to 3 s, three times in 22 s, and two maps given up.

Counts are now sent as the difference to those that the reader has from this agent, places only if the map has changed, and a map as what differs from the one in use.

--- a/src/rankagent/internal/agentclient.cpp
+++ b/src/rankagent/internal/agentclient.cpp
@@ -52,24 +52,22 @@
                     SampleDepth aDepth,
                     OnSampleReply aOnReply)
 {
-  mesh::v1::SampleRequest request;
-  request.set_wants_counts(aDepth == SampleDepth::Counts);
-  request.set_wants_placement(aDepth != SampleDepth::State);
   transport::CallUnary<mesh::v1::SampleRequest, mesh::v1::SampleReply>(
     &mContext,
-    std::move(request),
+    mReaders[aAgent].MakeRequest(aDepth),
     std::chrono::system_clock::now() + kSampleTimeout,
     [stub = StubOf(aAgent)](
       auto* aContext, auto* aRequest, auto* aReply, auto aOnEnd) {
       stub->async()->Sample(aContext, aRequest, aReply, std::move(aOnEnd));
     },
-    [aOnReply](const grpc::Status& aStatus,
-               const mesh::v1::SampleReply& aReply) {
+    [this, aAgent, aOnReply](const grpc::Status& aStatus,
+                             const mesh::v1::SampleReply& aReply) {
       if (!aStatus.ok()) {
+        mReaders.erase(aAgent);
         aOnReply(std::nullopt);
         return;
       }
-      aOnReply(std::optional(FromMessage(aReply)));
+      aOnReply(std::optional(mReaders[aAgent].Read(aReply)));
     });
 }
 
--- a/src/rankagent/internal/agentclient.h
+++ b/src/rankagent/internal/agentclient.h
@@ -2,9 +2,11 @@
 
 #include "mesh/meshnode.h"
 #include "rankagent/internal/groupport.h"
+#include "rankagent/internal/samplecodec.h"
 
 #include <QObject>
 #include <chrono>
+#include <map>
 
 namespace beryllever::rankagent {
 
@@ -51,6 +53,8 @@
 
   QObject mContext;
   mesh::MeshNode& mMesh;
+  /** What is known of each agent's rank, by the agent's address. */
+  std::map<std::string, SampleReader> mReaders;
 };
 
 }
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -2,6 +2,7 @@
 
 #include "framework/global/identifiers.h"
 #include "framework/log/log.h"
+#include "rankagent/internal/mapcodec.h"
 
 #include <algorithm>
 
@@ -336,7 +337,7 @@
   mIsSettled = false;
   mPreparingVersion = NextVersion();
   mPreparingEpoch = mSampler.State(0).mEpoch;
-  mPreparingMap = std::move(plan.mMap);
+  mPreparingMap = Sorted(std::move(plan.mMap));
   mPreparingSince = now;
   mPrepareDeadline = now + plan.mCopyTime + kPrepareTimeout;
   mPrepareRetryTime = now + plan.mCopyTime + kPrepareRetryInterval;
@@ -349,8 +350,14 @@
        << duration_cast<milliseconds>(plan.mCopyTime).count()
        << " expectedStayMilliseconds="
        << duration_cast<milliseconds>(stay).count());
+  RankOrder order = PrepareOrder();
+  // The map that a group begins with was told to nobody.
+  if (const uint64_t version = mSampler.State(0).mMapVersion; version != 0) {
+    order.mBase = std::make_shared<const KnownMap>(
+      KnownMap{ mPreparingEpoch, version, Sorted(current) });
+  }
   mPort.OrderAll(
-    PrepareOrder(),
+    order,
     [this, version = mPreparingVersion](uint32_t aRank, OrderOutcome aOutcome) {
       HandlePrepareOutcome(version, aRank, aOutcome);
     });
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -324,6 +324,9 @@
 void
 RankNode::OrderLocal(const RankOrder& aOrder, OnOutcome aOnOutcome)
 {
+  if (aOrder.mOperation == RankOperation::Prepare) {
+    mMaps.Add({ aOrder.mEpoch, aOrder.mVersion, aOrder.mMap });
+  }
   mEngine.Order(aOrder, std::move(aOnOutcome));
 }
 
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -53,6 +53,7 @@
 
   void SampleLocal(SampleDepth aDepth, OnSample aOnSample) override;
   void OrderLocal(const RankOrder& aOrder, OnOutcome aOnOutcome) override;
+  const MapHistory& Maps() const override { return mMaps; }
   void OrderAgent(const std::string& aAgent,
                   const RankOrder& aOrder,
                   OnOutcome aOnOutcome) override;
@@ -88,6 +89,7 @@
   EngineClient mEngine;
   AgentClient mAgents;
   PeerEngines mPeerEngines;
+  MapHistory mMaps;
   GroupLeader mLeader;
   std::shared_ptr<RankService> mService;
   std::optional<RankState> mRankState;
--- a/src/rankagent/internal/rankservice.cpp
+++ b/src/rankagent/internal/rankservice.cpp
@@ -1,5 +1,7 @@
 #include "rankagent/internal/rankservice.h"
 
+#include "framework/global/identifiers.h"
+#include "framework/log/log.h"
 #include "transport/post.h"
 
 #include <array>
@@ -8,6 +10,7 @@
 
 namespace {
 
+constexpr char kLogTag[] = "rank";
 constexpr std::array<std::string_view, 5> kOperationNames{ "prepare",
                                                            "arm",
                                                            "disarm",
@@ -37,60 +40,6 @@
 
 }
 
-void
-ToMessage(const RankSample& aSample, mesh::v1::SampleReply& aMessage)
-{
-  const RankState& state = aSample.mState;
-  aMessage.set_is_known(true);
-  aMessage.set_group(state.mGroup);
-  aMessage.set_epoch(state.mEpoch);
-  aMessage.set_rank(state.mRank);
-  aMessage.set_size(state.mSize);
-  aMessage.set_is_open(state.mIsOpen);
-  aMessage.set_is_busy(state.mIsBusy);
-  aMessage.set_pace(state.mPace);
-  aMessage.set_step(state.mStep);
-  aMessage.set_map_version(state.mMapVersion);
-  aMessage.set_prepared_version(state.mPreparedVersion);
-  aMessage.set_armed_version(state.mArmedVersion);
-  aMessage.set_armed_step(state.mArmedStep);
-  aMessage.set_held_step(state.mHeldStep);
-  aMessage.mutable_counts()->Add(aSample.mCounts.begin(),
-                                 aSample.mCounts.end());
-  for (const auto& experts : aSample.mExperts) {
-    aMessage.add_experts()->mutable_experts()->Add(experts.begin(),
-                                                   experts.end());
-  }
-}
-
-std::optional<RankSample>
-FromMessage(const mesh::v1::SampleReply& aMessage)
-{
-  if (!aMessage.is_known()) {
-    return std::nullopt;
-  }
-  RankSample sample;
-  sample.mState = { .mGroup = aMessage.group(),
-                    .mEpoch = aMessage.epoch(),
-                    .mRank = aMessage.rank(),
-                    .mSize = aMessage.size(),
-                    .mIsOpen = aMessage.is_open(),
-                    .mPace = aMessage.pace(),
-                    .mIsBusy = aMessage.is_busy(),
-                    .mStep = aMessage.step(),
-                    .mMapVersion = aMessage.map_version(),
-                    .mPreparedVersion = aMessage.prepared_version(),
-                    .mArmedVersion = aMessage.armed_version(),
-                    .mArmedStep = aMessage.armed_step(),
-                    .mHeldStep = aMessage.held_step() };
-  sample.mCounts.assign(aMessage.counts().begin(), aMessage.counts().end());
-  for (const auto& experts : aMessage.experts()) {
-    sample.mExperts.emplace_back(experts.experts().begin(),
-                                 experts.experts().end());
-  }
-  return sample;
-}
-
 void
 ToMessage(const RankOrder& aOrder, mesh::v1::OrderRequest& aMessage)
 {
@@ -99,6 +48,10 @@
   aMessage.set_epoch(aOrder.mEpoch);
   aMessage.set_version(aOrder.mVersion);
   aMessage.set_step(aOrder.mStep);
+  if (aOrder.mBase && HaveSameShape(aOrder.mMap, aOrder.mBase->mMap)) {
+    WriteChanges(aOrder.mMap, *aOrder.mBase, *aMessage.mutable_changes());
+    return;
+  }
   for (const auto& layer : aOrder.mMap) {
     mesh::v1::Layer& message = *aMessage.add_layers();
     for (const auto& experts : layer) {
@@ -108,13 +61,24 @@
   }
 }
 
-RankOrder
-FromMessage(const mesh::v1::OrderRequest& aMessage)
+std::optional<RankOrder>
+FromMessage(const mesh::v1::OrderRequest& aMessage, const MapHistory& aHistory)
 {
   RankOrder order{ .mOperation = ParseOperation(aMessage.operation()),
                    .mEpoch = aMessage.epoch(),
                    .mVersion = aMessage.version(),
                    .mStep = aMessage.step() };
+  if (aMessage.has_changes()) {
+    order.mBase =
+      aHistory.Find(order.mEpoch, aMessage.changes().base_version());
+    auto map = order.mBase ? ApplyChanges(aMessage.changes(), order.mBase->mMap)
+                           : std::nullopt;
+    if (!map) {
+      return std::nullopt;
+    }
+    order.mMap = std::move(*map);
+    return order;
+  }
   for (const auto& layer : aMessage.layers()) {
     order.mMap.emplace_back();
     for (const auto& rank : layer.ranks()) {
@@ -144,6 +108,7 @@
 RankService::RankService(QObject* aContext, ILocalRank& aLocalRank)
   : mContext(aContext)
   , mLocalRank(aLocalRank)
+  , mSampleWriter(global::RandomIdentifier())
 {
 }
 
@@ -155,9 +120,10 @@
   grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
   transport::Post(mContext, [this, aRequest, aReply, reactor] {
     mLocalRank.SampleLocal(
-      DepthOf(*aRequest), [aReply, reactor](std::optional<RankSample> aSample) {
+      DepthOf(*aRequest),
+      [this, aRequest, aReply, reactor](std::optional<RankSample> aSample) {
         if (aSample) {
-          ToMessage(*aSample, *aReply);
+          mSampleWriter.Write(*aSample, *aRequest, *aReply);
         }
         reactor->Finish(grpc::Status::OK);
       });
@@ -165,6 +131,18 @@
   return reactor;
 }
 
+std::optional<RankOrder>
+RankService::ReadOrder(const mesh::v1::OrderRequest& aMessage) const
+{
+  auto order = FromMessage(aMessage, mLocalRank.Maps());
+  if (!order) {
+    LOGI(
+      "The base of a map is not known here; the whole map is needed. version="
+      << aMessage.version() << " base=" << aMessage.changes().base_version());
+  }
+  return order;
+}
+
 grpc::ServerUnaryReactor*
 RankService::Order(grpc::CallbackServerContext* aContext,
                    const mesh::v1::OrderRequest* aRequest,
@@ -172,11 +150,15 @@
 {
   grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
   transport::Post(mContext, [this, aRequest, aReply, reactor] {
-    mLocalRank.OrderLocal(FromMessage(*aRequest),
-                          [aReply, reactor](OrderOutcome aOutcome) {
-                            ToMessage(aOutcome, *aReply);
-                            reactor->Finish(grpc::Status::OK);
-                          });
+    const auto order = ReadOrder(*aRequest);
+    if (!order) {
+      reactor->Finish(grpc::Status::OK);
+      return;
+    }
+    mLocalRank.OrderLocal(*order, [aReply, reactor](OrderOutcome aOutcome) {
+      ToMessage(aOutcome, *aReply);
+      reactor->Finish(grpc::Status::OK);
+    });
   });
   return reactor;
 }
@@ -201,11 +183,15 @@
         }
       };
     };
-    const RankOrder order = FromMessage(aRequest->order());
+    const auto order = ReadOrder(aRequest->order());
+    if (!order) {
+      reactor->Finish(grpc::Status::OK);
+      return;
+    }
     for (int i = 0; i < aRequest->agents_size(); ++i) {
-      mLocalRank.OrderAgent(aRequest->agents(i), order, handlerFor(i + 1));
+      mLocalRank.OrderAgent(aRequest->agents(i), *order, handlerFor(i + 1));
     }
-    mLocalRank.OrderLocal(order, handlerFor(0));
+    mLocalRank.OrderLocal(*order, handlerFor(0));
   });
   return reactor;
 }
--- a/src/rankagent/internal/rankservice.h
+++ b/src/rankagent/internal/rankservice.h
@@ -2,6 +2,8 @@
 
 #include "mesh.grpc.pb.h"
 #include "rankagent/internal/groupport.h"
+#include "rankagent/internal/mapcodec.h"
+#include "rankagent/internal/samplecodec.h"
 
 #include <QObject>
 
@@ -18,21 +20,19 @@
                            IGroupPort::OnSample aOnSample) = 0;
   virtual void OrderLocal(const RankOrder& aOrder,
                           IGroupPort::OnOutcome aOnOutcome) = 0;
+  /** Maps that this agent was told of. */
+  virtual const MapHistory& Maps() const = 0;
   /** Gives the order to the agent at a peer address. */
   virtual void OrderAgent(const std::string& aAgent,
                           const RankOrder& aOrder,
                           IGroupPort::OnOutcome aOnOutcome) = 0;
 };
 
-void
-ToMessage(const RankSample& aSample, mesh::v1::SampleReply& aMessage);
-/** Returns nullopt if the message states that the sample is not known. */
-std::optional<RankSample>
-FromMessage(const mesh::v1::SampleReply& aMessage);
 void
 ToMessage(const RankOrder& aOrder, mesh::v1::OrderRequest& aMessage);
-RankOrder
-FromMessage(const mesh::v1::OrderRequest& aMessage);
+/** Returns nullopt if the message names a base that the history lacks. */
+std::optional<RankOrder>
+FromMessage(const mesh::v1::OrderRequest& aMessage, const MapHistory& aHistory);
 void
 ToMessage(OrderOutcome aOutcome, mesh::v1::OrderReply& aMessage);
 OrderOutcome
@@ -55,8 +55,13 @@
                                   mesh::v1::RelayReply* aReply) override;
 
 private:
+  /** Returns nullopt if the order can only be understood with the whole map. */
+  std::optional<RankOrder> ReadOrder(
+    const mesh::v1::OrderRequest& aMessage) const;
+
   QObject* mContext;
   ILocalRank& mLocalRank;
+  SampleWriter mSampleWriter;
 };
 
 }
--- a/src/rankagent/ranktypes.h
+++ b/src/rankagent/ranktypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,14 @@
   Release,
 };
 
+/** A map that ranks of a group have been told of. */
+struct KnownMap
+{
+  uint64_t mEpoch = 0;
+  uint64_t mVersion = 0;
+  ExpertMap mMap;
+};
+
 /** Order to a rank, executed only in the given epoch. */
 struct RankOrder
 {
@@ -79,6 +88,9 @@
   uint64_t mVersion = 0;
   uint64_t mStep = 0;
   ExpertMap mMap;
+  /** Earlier map from which mMap differs little, if agents are expected to know
+   * it; they are then told the differences only. */
+  std::shared_ptr<const KnownMap> mBase;
 };
 
 }
