Answer requests that have just arrived when a gateway stops

Cause: when a gateway stopped accepting, it closed the listener, which resets connections that wait to be accepted, and all connections without a request that had been read, also those whose request waited in the socket.

The listener is emptied before it is closed, and connections are closed as idle from 150 ms later on, if nothing of a request has arrived on them.

APlannedStopCutsRequestsThatHaveJustArrived: with the old order, the first of 20 requests that arrived just before the stop is cut; now all are answered with 200, Connection: close. TcpListener covers the queue of the listener.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -75,6 +75,8 @@
   /** Answers from now on tell the peer to close. */
   void AnnounceClose() { mIsClosing = true; }
   bool HasRequest() const { return mHasRequest; }
+  /** Whether a part of a request has arrived. */
+  bool IsReceiving() const { return mHasHead || !mInput.empty(); }
   bool IsOpen() const { return mSocket->IsOpen(); }
   /** Closes in order a connection that has no request. */
   void Close();
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -369,7 +369,7 @@
   QObject::connect(mNotifier.get(),
                    &QSocketNotifier::activated,
                    mNotifier.get(),
-                   [this] { AcceptAll(); });
+                   [this] { AcceptPending(); });
   return true;
 }
 
@@ -384,7 +384,7 @@
 }
 
 void
-TcpListener::AcceptAll()
+TcpListener::AcceptPending()
 {
   while (mDescriptor >= 0) {
     const int n =
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -112,12 +112,12 @@
 
   /** Returns false if the address cannot be had. */
   bool Listen(const TcpAddress& aAddress, OnAccepted aOnAccepted);
+  /** Accepts the connections that wait. Closing the listener resets them. */
+  void AcceptPending();
   void Close();
   uint16_t Port() const { return mPort; }
 
 private:
-  void AcceptAll();
-
   int mDescriptor = -1;
   uint16_t mPort = 0;
   OnAccepted mOnAccepted;
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr char kLogTag[] = "traffic";
+/** Time for a request that was on its way when the listener was closed. */
+constexpr milliseconds kIdleCloseDelay{ 150 };
 
 }
 
@@ -18,6 +20,9 @@
   : mContext(aClock, aCodec, aMetrics, aAvailabilityZone)
   , mOpenRequests(aOpenRequests)
 {
+  QObject::connect(&mIdleTimer, &QTimer::timeout, &mIdleTimer, [this] {
+    CloseIdleConnections();
+  });
 }
 
 TrafficCore::~TrafficCore()
@@ -147,18 +152,28 @@
 void
 TrafficCore::StopAccepting()
 {
+  mListener.AcceptPending();
   mListener.Close();
+  LOGI("Stopped accepting connections. connections="
+       << mCallers.size() << " openRequests=" << mOpenRequests);
+  mIdleTimer.start(kIdleCloseDelay);
+}
+
+void
+TrafficCore::CloseIdleConnections()
+{
   std::vector<std::shared_ptr<net::HttpServerConnection>> idle;
   for (const auto& [id, caller] : mCallers) {
-    if (!caller.mExchange) {
+    if (!caller.mExchange && !caller.mConnection->IsReceiving()) {
       idle.push_back(caller.mConnection);
     }
   }
   for (const auto& connection : idle) {
     connection->Close();
   }
-  LOGI("Stopped accepting requests. idleConnections="
-       << idle.size() << " openRequests=" << mOpenRequests);
+  if (!idle.empty()) {
+    LOGI("Closed idle connections. connections=" << idle.size());
+  }
 }
 
 void
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -3,6 +3,7 @@
 #include "framework/net/httpserverconnection.h"
 #include "gateway/internal/exchange.h"
 
+#include <QTimer>
 #include <atomic>
 #include <map>
 
@@ -21,6 +22,8 @@
 
   bool Listen(const net::TcpAddress& aAddress);
   void BeginDraining();
+  /** Closes the listener. Connections that have been accepted may still bring a
+   * request; idle ones are closed soon after. */
   void StopAccepting();
   void UpdateLoad(const net::TcpAddress& aEndpoint,
                   int aRequests,
@@ -41,6 +44,7 @@
   net::HttpServerConnection::Handlers HandlersFor(uint64_t aId);
   void BeginRequest(uint64_t aId, net::ServerRequest aRequest);
   void RemoveCaller(uint64_t aId);
+  void CloseIdleConnections();
   /** Reserves bytes for the body of a caller's request. Returns false if the
    * limit would be exceeded. */
   bool ReserveBytes(uint64_t aId, size_t aBytes);
@@ -50,6 +54,8 @@
   TrafficContext mContext;
   std::atomic<int>& mOpenRequests;
   net::TcpListener mListener;
+  /** Runs once connections are accepted no more. */
+  QTimer mIdleTimer;
   std::map<uint64_t, Caller> mCallers;
   uint64_t mLastId = 0;
   /** Bytes reserved for the request bodies of all callers. */
