Let gateways agree on a sound part without answering each other for ever

Only crashes as an answer began now count against a part that was sound, and proof that is newer than the last crash clears it everywhere.

GatewaysAnswerEachOtherForEverAboutASoundPart plays both kinds of crash, with and without a later sound answer: at most 20 notices, and both agree.

--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -276,9 +276,11 @@
   const auto crashedAt = mClock.Now() - Bounded(aNotice.mSinceCrash);
   const auto it = mSuspicions.find(aNotice.mPart);
   const bool isKnown = it != mSuspicions.end();
-  if (isKnown && (it->second.mCrashes.size() > 1 ||
-                  (aNotice.mHasBegun && it->second.mHasBegun &&
-                   IsRepeated(it->second, aCrashes, crashedAt)))) {
+  // Only crashes as an answer began count against a part that was sound.
+  const bool isDoubted = isKnown && it->second.mHasBegun;
+  if (isDoubted &&
+      (it->second.mCrashes.size() > 1 ||
+       (aNotice.mHasBegun && IsRepeated(it->second, aCrashes, crashedAt)))) {
     it->second.mCrashes.insert(aCrashes.begin(), aCrashes.end());
     it->second.mIsOutweighed = false;
     mSound.Remove(aNotice.mPart);
@@ -288,7 +290,7 @@
     mSound.Add(aNotice.mPart, crashedAt);
   }
   if (!aNotice.mHasBegun) {
-    if (isKnown && !it->second.mHasBegun) {
+    if (isKnown && !isDoubted) {
       mSuspicions.erase(it);
     }
     return {};
@@ -344,9 +346,13 @@
   if (crashes.empty()) {
     return unknown;
   }
+  if (mSound.WasSeenAfter(aNotice.mPart, crashedAt)) {
+    return {
+      { .mKind = NoticeKind::Sound, .mPart = aNotice.mPart, .mCrashes = {} }
+    };
+  }
   const bool wasSound = mSound.Contains(aNotice.mPart);
-  if (wasSound &&
-      (!aNotice.mHasBegun || mSound.WasSeenAfter(aNotice.mPart, crashedAt))) {
+  if (wasSound && !aNotice.mHasBegun) {
     return { { .mKind = NoticeKind::Sound,
                .mPart = aNotice.mPart,
                .mCrashes = aNotice.mCrashes,
--- a/src/quarantine/tests/promptquarantinetest.cpp
+++ b/src/quarantine/tests/promptquarantinetest.cpp
@@ -112,6 +112,47 @@
   }
 }
 
+TEST(PromptQuarantine, GatewaysAnswerEachOtherForEverAboutASoundPart)
+{
+  constexpr int kMaxNotices = 20;
+  for (const bool hasBegun : { false, true }) {
+    for (const bool isSeenAfterwards : { false, true }) {
+      PromptQuarantine first{ mClock, 3 };
+      PromptQuarantine second{ mClock, 4 };
+      second.RecordSound({ kOther });
+      mClock.Advance(seconds(1));
+      first.RecordCrash({ kOther }, { "rank", 1 }, hasBegun);
+      mClock.Advance(seconds(3));
+      std::deque<std::pair<PromptQuarantine*, Notice>> sent;
+      const auto send = [&](PromptQuarantine* aTo, const Notices& aNotices) {
+        for (const Notice& notice : aNotices) {
+          sent.emplace_back(aTo, notice);
+        }
+      };
+      send(&second, first.RecordCrash({ kOther }, { "rank", 2 }, hasBegun));
+      if (isSeenAfterwards) {
+        mClock.Advance(seconds(1));
+        second.RecordSound({ kOther });
+        for (auto& [to, notice] : sent) {
+          notice.mSinceCrash += seconds(2);
+        }
+      }
+
+      int notices = 0;
+      for (; !sent.empty() && notices < kMaxNotices; ++notices) {
+        const auto [to, notice] = sent.front();
+        sent.pop_front();
+        send(to == &first ? &second : &first, to->Apply(notice));
+      }
+
+      CHECK(notices < kMaxNotices);
+      const bool isRefused = hasBegun && !isSeenAfterwards;
+      CHECK_EQUAL(isRefused, first.FindRefusal({ kOther }).has_value());
+      CHECK_EQUAL(isRefused, second.FindRefusal({ kOther }).has_value());
+    }
+  }
+}
+
 TEST(PromptQuarantine, AnOldSuspicionOutweighsALaterSoundAnswer)
 {
   Notices old = mPeer.RecordCrash({ kOther }, { "rank", 1 }, true);
