Let the case of a paused reader break both forms of the rule

The rule at any time speaks of no answer, the one around planned work of no complete answer. A SIGHUP before the requests makes both apply.

--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -796,7 +796,7 @@
   return "{\"Version\":" + std::to_string(aVersion) + ",\"RouteList\":[" +
          routes + "],\"Backends\":[" + services +
          "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304"
-         ",\"HeaderTimeoutMs\":5000,\"IdleTimeoutMs\":15000}}";
+         ",\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
 }
 
 /** An entry in the list of workers. */
--- a/review/standins/pausedreader.cpp
+++ b/review/standins/pausedreader.cpp
@@ -3,6 +3,8 @@
 /**
  * Clients on kept connections stop reading an answer for some seconds and then
  * read on, well before their deadline. The worker has handed over the answer.
+ * The gateway gets a SIGHUP before, so that both forms of the rule apply: that
+ * of planned work, and that of any time.
  */
 
 namespace {
@@ -63,6 +65,10 @@
   }
   lab::Sleep(lab::milliseconds(4000));
 
+  if (lab::HasTrouble()) {
+    gateway.Proc().Signal(SIGHUP);
+    lab::Note("platform: SIGHUP to " + gateway.Name());
+  }
   std::atomic<int> broken{ 0 };
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
