Make the case of a planned stop hold for other socket buffers

Answers of two kinds, and segments of 1,220 bytes, so that the result doesn't hang on how much the kernel takes at once.

--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -534,9 +534,10 @@
   }
 }
 
-/** Largest segment of an Ethernet network. Without it the loopback interface
- * uses segments of 64 kB, and the kernel buffers megabytes a connection. */
-constexpr int kEthernetSegment = 1448;
+/** Largest segment on a path with the least MTU of IPv6, as in many tunnels.
+ * Without it the loopback interface uses segments of 64 kB, and the kernel
+ * buffers megabytes a connection. */
+constexpr int kSegment = 1220;
 /** Receive buffer of a client; a fixed one does not grow to megabytes. */
 constexpr int kClientBuffer = 16 * 1024;
 
@@ -547,8 +548,8 @@
   setsockopt(descriptor,
              IPPROTO_TCP,
              TCP_MAXSEG,
-             &kEthernetSegment,
-             sizeof(kEthernetSegment));
+             &kSegment,
+             sizeof(kSegment));
   setsockopt(descriptor,
              SOL_SOCKET,
              SO_RCVBUF,
--- a/review/standins/slowreader.cpp
+++ b/review/standins/slowreader.cpp
@@ -8,10 +8,13 @@
 
 namespace {
 
-constexpr int kClients = 12;
-constexpr size_t kAnswerBytes = 250'000;
-/** A client reads 5 kB each 50 ms: 100 kB/s. */
-constexpr size_t kBytesPerPause = 5'000;
+constexpr int kClients = 18;
+/** Two of three answers are of this size, the others are longer. */
+constexpr size_t kAnswerBytes = 260'000;
+constexpr size_t kLongAnswerBytes = 900'000;
+constexpr size_t kLongAnswerStep = 20'000;
+/** Time in which a client reads its answer at an even pace. */
+constexpr lab::milliseconds kReadTime{ 3'000 };
 constexpr lab::milliseconds kPause{ 50 };
 constexpr lab::milliseconds kWork{ 300 };
 /** The first half of the requests is sent so long before the SIGTERM, the other
@@ -19,6 +22,15 @@
 constexpr lab::milliseconds kHalfTime{ 150 };
 constexpr int kDeadlineMs = 8'000;
 
+/** Length of the answer to the request "a-NUMBER". */
+size_t
+BytesOf(const std::string& aId)
+{
+  const size_t number = std::stoul(aId.substr(2));
+  return number % 3 == 2 ? kLongAnswerBytes + kLongAnswerStep * number
+                         : kAnswerBytes;
+}
+
 void
 ServeWorker(int aDescriptor)
 {
@@ -39,7 +51,7 @@
                               "Beryllever-Attempt-Id: " + id +
                                 "\r\nBeryllever-Server-Stamp: stamp-" + id +
                                 "\r\n",
-                              std::string(kAnswerBytes, 'x')));
+                              std::string(BytesOf(id), 'x')));
     lab::Note("worker w1: answer to " + id +
               (isSent ? " is handed over whole" : " was cut off by its reader"));
     if (!isSent) {
@@ -52,17 +64,22 @@
 class Pacer
 {
 public:
+  explicit Pacer(size_t aBytes)
+    : mBytesPerPause(aBytes / static_cast<size_t>(kReadTime / kPause))
+  {
+  }
   void operator()(size_t aBytes)
   {
     mSince += aBytes;
-    while (mSince >= kBytesPerPause) {
-      mSince -= kBytesPerPause;
+    while (mSince >= mBytesPerPause) {
+      mSince -= mBytesPerPause;
       mNext = std::max(mNext, lab::Clock::now() - kPause) + kPause;
       std::this_thread::sleep_until(mNext);
     }
   }
 
 private:
+  const size_t mBytesPerPause;
   size_t mSince = 0;
   lab::Clock::time_point mNext = lab::Clock::now();
 };
@@ -83,11 +100,11 @@
                                "",
                                "x"),
               lab::milliseconds(kDeadlineMs),
-              Pacer());
+              Pacer(BytesOf(id)));
   lab::Note("client: " + id + (isGet ? " GET" : " POST") + " status " +
             std::to_string(answer.mStatus) + " body bytes " +
             std::to_string(answer.mBody.size()) + " of " +
-            std::to_string(kAnswerBytes) +
+            std::to_string(BytesOf(id)) +
             (answer.mIsWhole ? " whole" : " NOT WHOLE") + ", " +
             std::to_string(lab::TheRecord().Now() - start) +
             " ms after it was sent");
