--- a/review/standins/deadlypart.cpp
+++ b/review/standins/deadlypart.cpp
@@ -68,8 +68,9 @@
         continue;
       }
       const bool isDeadly =
-        lab::HasTrouble() && lab::Field(request.mHead, "Beryllever-Prompt-Prefix")
-                                 .find(kDeadlyPart) != std::string::npos;
+        lab::HasTrouble() &&
+        lab::Field(request.mHead, "Beryllever-Prompt-Prefix")
+            .find(kDeadlyPart) != std::string::npos;
       if (isDeadly) {
         const std::lock_guard lock(sMutex);
         sArrivals.push_back(lab::TheRecord().Now());
@@ -157,15 +158,15 @@
 main()
 {
   lab::Store store;
-  store.Put("op/config",
-            lab::ConfigText(1,
-                            { { "handover", "streaming", "rota-llm", 2, true } },
-                            { "rota-llm" },
-                            kDeadlineMs));
+  store.Put(
+    "op/config",
+    lab::ConfigText(1,
+                    { { "handover", "streaming", "rota-llm", 2, true } },
+                    { "rota-llm" },
+                    kDeadlineMs));
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 1; i <= kWorkers; ++i) {
-    workers.push_back(
-      std::make_unique<Worker>(store, "w" + std::to_string(i)));
+    workers.push_back(std::make_unique<Worker>(store, "w" + std::to_string(i)));
   }
   lab::Gateway first("edge-mid-north-1", "mid-north", store.Port());
   lab::Gateway second("edge-mid-central-1", "mid-central", store.Port());
@@ -202,8 +203,10 @@
   }
   lab::Note("crashes " + std::to_string(sCrashes.size()) +
             ", requests with the deadly part that reached workers " +
-            std::to_string(sArrivals.size()) + ", later than ContactMs after "
-            "the fifth crash " + std::to_string(late) + "; sound requests " +
+            std::to_string(sArrivals.size()) +
+            ", later than ContactMs after "
+            "the fifth crash " +
+            std::to_string(late) + "; sound requests " +
             std::to_string(sSoundSent) + ", whole " +
             std::to_string(sSoundWhole));
   lab::End(late > 3 ? 1 : 0,
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -389,10 +389,9 @@
         body = Watch(std::stoull("0" + Query(request.mTarget, "After")),
                      std::stoi("0" + Query(request.mTarget, "WaitMs")));
       }
-      const std::string reply =
-        Reply(body.empty() ? 404 : 200,
-              "Content-Type: application/json\r\n",
-              body.empty() ? "{}" : body);
+      const std::string reply = Reply(body.empty() ? 404 : 200,
+                                      "Content-Type: application/json\r\n",
+                                      body.empty() ? "{}" : body);
       if (!SendAll(aDescriptor, reply)) {
         return;
       }
@@ -545,16 +544,9 @@
 ConnectTo(int aPort)
 {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt(descriptor,
-             IPPROTO_TCP,
-             TCP_MAXSEG,
-             &kSegment,
-             sizeof(kSegment));
-  setsockopt(descriptor,
-             SOL_SOCKET,
-             SO_RCVBUF,
-             &kClientBuffer,
-             sizeof(kClientBuffer));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &kSegment, sizeof(kSegment));
+  setsockopt(
+    descriptor, SOL_SOCKET, SO_RCVBUF, &kClientBuffer, sizeof(kClientBuffer));
   const sockaddr_in address = Loopback(aPort);
   if (connect(descriptor,
               reinterpret_cast<const sockaddr*>(&address),
@@ -675,8 +667,7 @@
     }
     std::string text = ReadFile(std::string(getenv("REVIEW_ROOT")) +
                                 "/platform/settings/gateway.json");
-    const std::string section =
-      "{{#SeedNodes}}\"{{.}}\"{{,}}{{/SeedNodes}}";
+    const std::string section = "{{#SeedNodes}}\"{{.}}\"{{,}}{{/SeedNodes}}";
     const size_t at = text.find(section);
     text.replace(at, section.size(), seeds);
     text = Render(text,
@@ -778,15 +769,14 @@
   std::string routes;
   for (const RouteText& route : aRoutes) {
     routes += (routes.empty() ? "" : ",") + std::string("{\"Name\":\"") +
-              route.mName +
-              "\",\"Hostname\":\"rota.example\",\"Prefix\":\"/" +
+              route.mName + "\",\"Hostname\":\"rota.example\",\"Prefix\":\"/" +
               route.mName + "/\",\"RouteKind\":\"" + route.mKind +
               "\",\"TimeoutMs\":" + std::to_string(aTimeoutMs) +
               ",\"TargetLatencyMs\":400,\"TargetGapMs\":120"
               ",\"PriorityClass\":1,\"MaxAttempts\":" +
-              std::to_string(route.mAttempts) + ",\"StreamResume\":" +
-              (route.mIsResumable ? "true" : "false") + ",\"Backend\":\"" +
-              route.mService + "\"}";
+              std::to_string(route.mAttempts) +
+              ",\"StreamResume\":" + (route.mIsResumable ? "true" : "false") +
+              ",\"Backend\":\"" + route.mService + "\"}";
   }
   std::string services;
   for (const std::string& service : aServices) {
@@ -808,8 +798,9 @@
            const std::string& aState,
            long long aBorn)
 {
-  return "{\"Backend\":\"" + aService + "\",\"Address\":\"127.0.0.1:" +
-         std::to_string(aPort) + "\",\"Zone\":\"" + aZone +
+  return "{\"Backend\":\"" + aService +
+         "\",\"Address\":\"127.0.0.1:" + std::to_string(aPort) +
+         "\",\"Zone\":\"" + aZone +
          "\",\"Version\":\"1\",\"SlotCount\":12,\"State\":\"" + aState +
          "\",\"ColdRemainingMs\":0,\"Sequence\":0,\"born\":" +
          std::to_string(aBorn) + "}";
--- a/review/standins/lostanswers.cpp
+++ b/review/standins/lostanswers.cpp
@@ -25,9 +25,8 @@
 bool
 IsLost(int aWorker)
 {
-  static thread_local unsigned sSeed =
-    static_cast<unsigned>(std::hash<std::thread::id>()(
-      std::this_thread::get_id()));
+  static thread_local unsigned sSeed = static_cast<unsigned>(
+    std::hash<std::thread::id>()(std::this_thread::get_id()));
   const long since = lab::TheRecord().Now() - sStart;
   const bool isLossTime = sStart > 0 && since % kLossEveryMs < kLossMs;
   return lab::HasTrouble() && isLossTime && aWorker <= kLossyWorkers &&
--- a/review/standins/lostremoval.cpp
+++ b/review/standins/lostremoval.cpp
@@ -36,10 +36,9 @@
     if (isLeaving && age > kDrainMs) {
       ++sLate;
     }
-    lab::Note("worker " + aName + ": runs " + id +
-              (isLeaving
-                 ? ", " + std::to_string(age) + " ms after its removal"
-                 : ""));
+    lab::Note(
+      "worker " + aName + ": runs " + id +
+      (isLeaving ? ", " + std::to_string(age) + " ms after its removal" : ""));
     lab::Sleep(lab::milliseconds(15));
     lab::SendAll(aDescriptor,
                  lab::Reply(200,
@@ -71,17 +70,18 @@
   lab::Server one([](int it) { ServeWorker("w1", it); });
   lab::Server two([](int it) { ServeWorker("w2", it); });
   const long long born = lab::UnixMs();
-  store.Put("op/config",
-            lab::ConfigText(1,
-                            { { "assign", "non_idempotent", "dispatch-app", 1 } },
-                            { "dispatch-app" },
-                            kDeadlineMs));
-  store.Put("servers/w1",
-            lab::WorkerText(
-              "dispatch-app", one.Port(), "mid-north", "ready", born));
-  store.Put("servers/w2",
-            lab::WorkerText(
-              "dispatch-app", two.Port(), "mid-north", "ready", born));
+  store.Put(
+    "op/config",
+    lab::ConfigText(1,
+                    { { "assign", "non_idempotent", "dispatch-app", 1 } },
+                    { "dispatch-app" },
+                    kDeadlineMs));
+  store.Put(
+    "servers/w1",
+    lab::WorkerText("dispatch-app", one.Port(), "mid-north", "ready", born));
+  store.Put(
+    "servers/w2",
+    lab::WorkerText("dispatch-app", two.Port(), "mid-north", "ready", born));
 
   const char* const scope = getenv("KILLED");
   const bool isZoneOnly = scope != nullptr && std::string(scope) == "zone";
--- a/review/standins/pausedreader.cpp
+++ b/review/standins/pausedreader.cpp
@@ -49,15 +49,17 @@
 {
   lab::Store store;
   lab::Server worker(ServeWorker);
-  store.Put("op/config",
-            lab::ConfigText(1,
-                            { { "report", "idempotent", "dispatch-app", 2 },
-                              { "assign", "non_idempotent", "dispatch-app", 1 } },
-                            { "dispatch-app" },
-                            kDeadlineMs));
-  store.Put("servers/w1",
-            lab::WorkerText(
-              "dispatch-app", worker.Port(), "mid-north", "ready", lab::UnixMs()));
+  store.Put(
+    "op/config",
+    lab::ConfigText(1,
+                    { { "report", "idempotent", "dispatch-app", 2 },
+                      { "assign", "non_idempotent", "dispatch-app", 1 } },
+                    { "dispatch-app" },
+                    kDeadlineMs));
+  store.Put(
+    "servers/w1",
+    lab::WorkerText(
+      "dispatch-app", worker.Port(), "mid-north", "ready", lab::UnixMs()));
   lab::Gateway gateway("edge-mid-north-1", "mid-north", store.Port());
   gateway.Start({ gateway.ControlAddress() });
   if (!gateway.WaitReady(lab::milliseconds(10000))) {
@@ -92,19 +94,18 @@
       const long start = lab::TheRecord().Now();
       size_t read = 0;
       bool hasPaused = !lab::HasTrouble();
-      const lab::Answer answer =
-        lab::ReadAnswer(descriptor,
-                        lab::milliseconds(kDeadlineMs),
-                        [&](size_t aBytes) {
-                          read += aBytes;
-                          if (!hasPaused && read >= kBytesBeforePause) {
-                            hasPaused = true;
-                            lab::Sleep(kPause);
-                          }
-                        });
+      const lab::Answer answer = lab::ReadAnswer(
+        descriptor, lab::milliseconds(kDeadlineMs), [&](size_t aBytes) {
+          read += aBytes;
+          if (!hasPaused && read >= kBytesBeforePause) {
+            hasPaused = true;
+            lab::Sleep(kPause);
+          }
+        });
       broken += answer.mIsWhole ? 0 : 1;
-      lab::Note("client: " + id + (isGet ? " GET" : " POST") + " status " + std::to_string(answer.mStatus) +
-                " body bytes " + std::to_string(answer.mBody.size()) + " of " +
+      lab::Note("client: " + id + (isGet ? " GET" : " POST") + " status " +
+                std::to_string(answer.mStatus) + " body bytes " +
+                std::to_string(answer.mBody.size()) + " of " +
                 std::to_string(kAnswerBytes) +
                 (answer.mIsWhole ? " whole" : " NOT WHOLE") + ", " +
                 std::to_string(lab::TheRecord().Now() - start) +
--- a/review/standins/silentstream.cpp
+++ b/review/standins/silentstream.cpp
@@ -1,9 +1,9 @@
 #include "lab.h"
 
 /**
- * Streams at a sound worker pause for 1.9 s, which their clients bear, while the
- * other worker of the service is full. The gateway gets SIGTERM meanwhile, with
- * seconds of GraceS left.
+ * Streams at a sound worker pause for 1.9 s, which their clients bear, while
+ * the other worker of the service is full. The gateway gets SIGTERM meanwhile,
+ * with seconds of GraceS left.
  */
 
 namespace {
@@ -23,8 +23,9 @@
 bool
 SendEvent(int aDescriptor, int aNumber, const std::string& aId)
 {
-  const std::string event = "id: " + std::to_string(aNumber) + "\ndata: " +
-                            aId + "-" + std::to_string(aNumber) + "\n\n";
+  const std::string event = "id: " + std::to_string(aNumber) +
+                            "\ndata: " + aId + "-" + std::to_string(aNumber) +
+                            "\n\n";
   char size[16];
   std::snprintf(size, sizeof(size), "%zx", event.size());
   return lab::SendAll(aDescriptor, std::string(size) + "\r\n" + event + "\r\n");
@@ -115,11 +116,12 @@
   lab::Store store;
   lab::Server one([](int it) { ServeWorker("w1", it); });
   lab::Server two([](int it) { ServeWorker("w2", it); });
-  store.Put("op/config",
-            lab::ConfigText(1,
-                            { { "handover", "streaming", "rota-llm", 2, true } },
-                            { "rota-llm" },
-                            kDeadlineMs));
+  store.Put(
+    "op/config",
+    lab::ConfigText(1,
+                    { { "handover", "streaming", "rota-llm", 2, true } },
+                    { "rota-llm" },
+                    kDeadlineMs));
   const long long born = lab::UnixMs();
   store.Put(
     "servers/w1",
@@ -153,22 +155,21 @@
       lab::SendAll(descriptor, StreamRequest(id));
       long lastAt = lab::TheRecord().Now();
       long gap = 0;
-      const lab::Answer answer =
-        lab::ReadAnswer(descriptor,
-                        lab::milliseconds(kDeadlineMs),
-                        [&](size_t) {
-                          const long now = lab::TheRecord().Now();
-                          gap = std::max(gap, now - lastAt);
-                          lastAt = now;
-                        });
+      const lab::Answer answer = lab::ReadAnswer(
+        descriptor, lab::milliseconds(kDeadlineMs), [&](size_t) {
+          const long now = lab::TheRecord().Now();
+          gap = std::max(gap, now - lastAt);
+          lastAt = now;
+        });
       const long silent = lab::TheRecord().Now() - lastAt;
       const bool hasLeft =
         std::max(gap, answer.mIsWhole ? 0 : silent) > kClientPatienceMs;
       broken += answer.mIsWhole || hasLeft ? 0 : 1;
-      lab::Note("client: " + id + " status " + std::to_string(answer.mStatus) +
-                (answer.mIsWhole ? " whole" : " NOT WHOLE, closed after ") +
-                (answer.mIsWhole ? "" : std::to_string(silent) + " ms of silence") +
-                ", longest gap " + std::to_string(gap) + " ms");
+      lab::Note(
+        "client: " + id + " status " + std::to_string(answer.mStatus) +
+        (answer.mIsWhole ? " whole" : " NOT WHOLE, closed after ") +
+        (answer.mIsWhole ? "" : std::to_string(silent) + " ms of silence") +
+        ", longest gap " + std::to_string(gap) + " ms");
       close(descriptor);
     });
   }
--- a/review/standins/slowreader.cpp
+++ b/review/standins/slowreader.cpp
@@ -45,15 +45,15 @@
     }
     lab::Note("worker w1: runs " + id);
     lab::Sleep(kWork);
-    const bool isSent =
-      lab::SendAll(aDescriptor,
-                   lab::Reply(200,
-                              "Beryllever-Attempt-Id: " + id +
-                                "\r\nBeryllever-Server-Stamp: stamp-" + id +
-                                "\r\n",
-                              std::string(BytesOf(id), 'x')));
-    lab::Note("worker w1: answer to " + id +
-              (isSent ? " is handed over whole" : " was cut off by its reader"));
+    const bool isSent = lab::SendAll(
+      aDescriptor,
+      lab::Reply(200,
+                 "Beryllever-Attempt-Id: " + id +
+                   "\r\nBeryllever-Server-Stamp: stamp-" + id + "\r\n",
+                 std::string(BytesOf(id), 'x')));
+    lab::Note(
+      "worker w1: answer to " + id +
+      (isSent ? " is handed over whole" : " was cut off by its reader"));
     if (!isSent) {
       return;
     }
@@ -101,13 +101,12 @@
                                "x"),
               lab::milliseconds(kDeadlineMs),
               Pacer(BytesOf(id)));
-  lab::Note("client: " + id + (isGet ? " GET" : " POST") + " status " +
-            std::to_string(answer.mStatus) + " body bytes " +
-            std::to_string(answer.mBody.size()) + " of " +
-            std::to_string(BytesOf(id)) +
-            (answer.mIsWhole ? " whole" : " NOT WHOLE") + ", " +
-            std::to_string(lab::TheRecord().Now() - start) +
-            " ms after it was sent");
+  lab::Note(
+    "client: " + id + (isGet ? " GET" : " POST") + " status " +
+    std::to_string(answer.mStatus) + " body bytes " +
+    std::to_string(answer.mBody.size()) + " of " + std::to_string(BytesOf(id)) +
+    (answer.mIsWhole ? " whole" : " NOT WHOLE") + ", " +
+    std::to_string(lab::TheRecord().Now() - start) + " ms after it was sent");
   return answer;
 }
 
@@ -118,15 +117,17 @@
 {
   lab::Store store;
   lab::Server worker(ServeWorker);
-  store.Put("op/config",
-            lab::ConfigText(1,
-                            { { "report", "idempotent", "dispatch-app", 2 },
-                              { "assign", "non_idempotent", "dispatch-app", 1 } },
-                            { "dispatch-app" },
-                            kDeadlineMs));
-  store.Put("servers/w1",
-            lab::WorkerText(
-              "dispatch-app", worker.Port(), "mid-north", "ready", lab::UnixMs()));
+  store.Put(
+    "op/config",
+    lab::ConfigText(1,
+                    { { "report", "idempotent", "dispatch-app", 2 },
+                      { "assign", "non_idempotent", "dispatch-app", 1 } },
+                    { "dispatch-app" },
+                    kDeadlineMs));
+  store.Put(
+    "servers/w1",
+    lab::WorkerText(
+      "dispatch-app", worker.Port(), "mid-north", "ready", lab::UnixMs()));
   lab::Gateway first("edge-mid-north-1", "mid-north", store.Port());
   lab::Gateway second("edge-mid-central-1", "mid-central", store.Port());
   const std::vector<std::string> seeds{ first.ControlAddress(),
