Find a deadly part of a prompt when events get out before the crash

Cause: a break counted as a crash only while no event of the answer had been forwarded, and two reads of events counted as proof that the part is sound. An endpoint that begins to write needs some milliseconds to end, and its first events leave before that.

Now an answer proves its parts sound 300 ms after its first event, or whole; a break before that counts, unless the endpoint had been silent for over 1 s, which is a stalled group. The silence is counted from the last data and not from the head, so that a crash after a long prompt counts too.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -56,11 +56,12 @@
 constexpr int kRetryAfterDivisor = 3;
 /** Delay before a retry while the gateway has no configuration. */
 constexpr milliseconds kRetryAfterUnconfigured{ 700 };
-/** Longest time from the head of a response to its first event. A group that
- * stalls breaks off its responses after a longer time. */
-constexpr milliseconds kMaxBeginTime{ 1000 };
-/** Parts of a response after which its endpoint does not crash as it begins. */
-constexpr int kSoundParts = 2;
+/** Longest time without data before an endpoint crashes. A group that stalls
+ * breaks off its responses after a longer time. */
+constexpr milliseconds kMaxSilence{ 1000 };
+/** Time from the first event of a response, at least. An endpoint that crashes
+ * as it begins to write may have sent several events until its process ends. */
+constexpr milliseconds kSoundTime{ 300 };
 /** Requests that may be queued in one gateway. */
 constexpr size_t kMaxQueuedRequests = 64;
 
@@ -376,7 +377,8 @@
     case ForwardResult::Forwarded:
       break;
   }
-  if (mResponse.AttemptParts() == kSoundParts) {
+  if (!mAttempt->mIsSound && HasOutlastedBegin()) {
+    mAttempt->mIsSound = true;
     mContext.mPromptGuard.RecordSound(mMetadata);
   }
   if (mResponse.IsCallerBehind()) {
@@ -448,17 +450,25 @@
   // A resumed stream may have no more events.
   const bool isResumed = mResponse.LastEventId() || mMetadata.mLastEventId;
   return mResponse.IsInsideEvent() ||
-         (!head.mIsChunked && !isResumed && mResponse.AttemptParts() == 0);
+         (!head.mIsChunked && !isResumed && !mResponse.AttemptBegin());
+}
+
+bool
+Exchange::HasOutlastedBegin() const
+{
+  const auto begin = mResponse.AttemptBegin();
+  return mAttempt->mIsForwarded && begin &&
+         mContext.mClock.Now() - *begin >= kSoundTime;
 }
 
 void
 Exchange::RecordBreak()
 {
-  const bool hasBegun = mAttempt->mIsForwarded && mResponse.AttemptParts() > 0;
+  const auto lastData =
+    mAttempt->mIsForwarded ? mResponse.LastForward() : mAttempt->mHeadAt;
   const bool wasStalled =
-    mAttempt->mHead &&
-    mContext.mClock.Now() - mAttempt->mHeadAt > kMaxBeginTime;
-  if (!hasBegun && !wasStalled) {
+    mAttempt->mHead && mContext.mClock.Now() - lastData > kMaxSilence;
+  if (!mAttempt->mIsSound && !wasStalled) {
     mContext.mPromptGuard.RecordBreak(
       mMetadata, mAttempt->mEndpoint, mAttempt->mHead.has_value());
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -43,6 +43,8 @@
     /** Bytes of responses to other requests. */
     size_t mDiscardedBytes = 0;
     bool mIsForwarded = false;
+    /** The parts of the prompt are known to be sound. */
+    bool mIsSound = false;
     global::TimePoint mSentAt{};
     global::TimePoint mHeadAt{};
   };
@@ -59,6 +61,9 @@
    * request and with 503 if not. */
   void FailRequest(const std::string& aReason,
                    std::optional<milliseconds> aRetryAfter = {});
+  /** Whether data of the answer has come so long after its first event that
+   * its endpoint does not crash as it begins to write. */
+  bool HasOutlastedBegin() const;
   /** Notes for the quarantine of prompt parts that the endpoint's connection
    * has ended. */
   void RecordBreak();
--- a/src/gateway/internal/promptguard.cpp
+++ b/src/gateway/internal/promptguard.cpp
@@ -122,7 +122,7 @@
   Tell(notices,
        "endpoint " + aEndpoint.mId + " broke off request " +
          aRequest.mRequestId +
-         (aHasBegun ? " before its first event" : " before its head"));
+         (aHasBegun ? " as its answer began" : " before its head"));
 }
 
 void
--- a/src/gateway/internal/promptguard.h
+++ b/src/gateway/internal/promptguard.h
@@ -33,8 +33,8 @@
                   const published::Endpoint& aEndpoint);
   /** The endpoint goes on with its answer, or has completed it. */
   void RecordSound(const RequestMetadata& aRequest);
-  /** The endpoint's connection has ended before the first event, and after the
-   * head of the answer or not. */
+  /** The endpoint's connection has ended before its answer had gone on for a
+   * while, and after the head of the answer or not. */
   void RecordBreak(const RequestMetadata& aRequest,
                    const published::Endpoint& aEndpoint,
                    bool aHasBegun);
--- a/src/gateway/internal/responseforwarder.cpp
+++ b/src/gateway/internal/responseforwarder.cpp
@@ -30,7 +30,7 @@
 ResponseForwarder::Begin(const net::AnswerHead& aHead)
 {
   mLastForward = mClock.Now();
-  mAttemptParts = 0;
+  mAttemptBegin.reset();
   if (HasBegun()) {
     return;
   }
@@ -83,7 +83,7 @@
       std::max(mLongestPause, duration_cast<milliseconds>(now - mLastForward));
   }
   mHasBody = true;
-  ++mAttemptParts;
+  mAttemptBegin = mAttemptBegin.value_or(now);
   mLastForward = now;
 }
 
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -60,8 +60,12 @@
   }
   /** When the head or data was last forwarded. */
   global::TimePoint LastForward() const { return mLastForward; }
-  /** Parts of the body that the current attempt has contributed. */
-  int AttemptParts() const { return mAttemptParts; }
+  /** When the current attempt contributed its first part of the body, if it
+   * has. */
+  std::optional<global::TimePoint> AttemptBegin() const
+  {
+    return mAttemptBegin;
+  }
   /** Longest time between two parts of the body. */
   milliseconds LongestPause() const { return mLongestPause; }
   /** Whether the caller reads so slowly that no more data should be read from
@@ -78,7 +82,7 @@
   EventAssembler mEvents;
   bool mIsEventStream = false;
   bool mHasBody = false;
-  int mAttemptParts = 0;
+  std::optional<global::TimePoint> mAttemptBegin;
   unsigned mStatus = 0;
   std::optional<milliseconds> mTimeToFirstByte;
   global::TimePoint mLastForward{};
--- a/src/quarantine/promptquarantine.h
+++ b/src/quarantine/promptquarantine.h
@@ -73,8 +73,8 @@
 /**
  * Finds parts of prompts that crash each endpoint that begins to answer a
  * request with them, and says which requests may not run. A part is suspected
- * when an endpoint breaks off a request before the first event, unless an
- * answer with the part has been seen to go on; it is sound once one has. Two
+ * when an endpoint breaks off a request as its answer begins, unless an answer
+ * with the part has been seen to go on; it is sound once one has. Two
  * crashes at different times as answers begin, with none that goes on in
  * between, outweigh that. The notices that are returned are meant for all other
  * gateways.
@@ -92,8 +92,8 @@
   Notices RecordSent(const std::vector<PromptPart>& aParts);
   /** An answer to a request with these parts was begun and went on. */
   Notices RecordSound(const std::vector<PromptPart>& aParts);
-  /** An endpoint broke off a request before its first event, and after it had
-   * begun an answer or not. */
+  /** An endpoint broke off a request before its answer had gone on for a while,
+   * and after it had begun an answer or not. */
   Notices RecordCrash(const std::vector<PromptPart>& aParts,
                       const EndpointLife& aEndpoint,
                       bool aHasBegun);
