Tell peers of removals that a restarted gateway has not seen

Cause: a gateway that does not read the store fetches from its peers what is newer than its own revision. A peer that has just started has listed the store: it knows the present revision, but no removal from before its listing. The gateway took the revision and never heard of the removal. A take-back of an availability zone was lost in the same way, and so were both for rank agents.

The two new tests failed with mIsFull always false.

A process now remembers since which revision it knows all removals. To a peer that is behind that it sends all items, marked as such, and the peer drops what is left out, as it does for a listing of the store.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -281,7 +281,7 @@
 mesh::RecordBatch
 GatewayNode::RecordsSince(uint64_t aRevision) const
 {
-  return { mState.Revision(), mState.RecordsSince(aRevision) };
+  return mState.RecordsSince(aRevision);
 }
 
 uint64_t
@@ -293,7 +293,7 @@
 void
 GatewayNode::HandleRecords(const mesh::RecordBatch& aBatch)
 {
-  if (mState.ApplyChanges(aBatch.mRecords, aBatch.mRevision)) {
+  if (mState.Apply(aBatch)) {
     LOGI("Published items came from a peer. items="
          << aBatch.mRecords.size() << " revision=" << aBatch.mRevision);
     UpdateSnapshot("peer");
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -413,7 +413,8 @@
         LOGI("A peer has sent its published items. peer="
              << aAddress << " milliseconds=" << elapsed.count()
              << " items=" << aReply.records_size() << " since=" << since
-             << " revision=" << aReply.revision());
+             << " revision=" << aReply.revision()
+             << " isFull=" << aReply.is_full());
         mListener->HandleRecords(FromMessage(aReply, mClock.Now()));
       } else {
         LOGW("Fetching published items from a peer failed. peer="
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -159,6 +159,7 @@
           v1::FetchReply& aMessage)
 {
   aMessage.set_revision(aBatch.mRevision);
+  aMessage.set_is_full(aBatch.mIsFull);
   for (const published::Record& record : aBatch.mRecords) {
     v1::PublishedRecord& message = *aMessage.add_records();
     message.set_key(record.mKey);
@@ -175,7 +176,9 @@
 RecordBatch
 FromMessage(const v1::FetchReply& aMessage, global::TimePoint aNow)
 {
-  RecordBatch batch{ .mRevision = aMessage.revision() };
+  RecordBatch batch{ .mRevision = aMessage.revision(),
+                     .mIsFull = aMessage.is_full(),
+                     .mRecords = {} };
   for (const v1::PublishedRecord& record : aMessage.records()) {
     const milliseconds kept(record.kept_milliseconds());
     batch.mRecords.push_back(
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -12,12 +12,7 @@
 
 namespace beryllever::mesh {
 
-/** Published items that one process sends to another. */
-struct RecordBatch
-{
-  uint64_t mRevision = 0;
-  std::vector<published::Record> mRecords;
-};
+using published::RecordBatch;
 
 /** Provides the published items of the process and is notified of changes. */
 class IMeshListener
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -43,7 +43,10 @@
       isChanged = Remove(key, ReregistrationDeadline()) || isChanged;
     }
   }
-  mRevision = std::max(mRevision, aRevision);
+  if (aRevision > mRevision) {
+    mRevision = aRevision;
+    mTombstonesSince = aRevision;
+  }
   Rebuild();
   return isChanged;
 }
@@ -63,6 +66,13 @@
   return isChanged;
 }
 
+bool
+PublishedState::Apply(const RecordBatch& aBatch)
+{
+  return aBatch.mIsFull ? ApplyListing(aBatch.mRecords, aBatch.mRevision)
+                        : ApplyChanges(aBatch.mRecords, aBatch.mRevision);
+}
+
 void
 PublishedState::RecordFailure()
 {
@@ -103,21 +113,23 @@
   return removed > 0;
 }
 
-std::vector<Record>
+RecordBatch
 PublishedState::RecordsSince(uint64_t aRevision) const
 {
-  std::vector<Record> records;
+  RecordBatch batch{ .mRevision = mRevision,
+                     .mIsFull = aRevision < mTombstonesSince,
+                     .mRecords = {} };
   for (const auto& [key, record] : mRecords) {
-    if (record.mRevision <= aRevision) {
+    if (!batch.mIsFull && record.mRevision <= aRevision) {
       continue;
     }
-    records.push_back(record);
+    batch.mRecords.push_back(record);
     if (const auto it = mDelayedRemovals.find(key);
         it != mDelayedRemovals.end()) {
-      records.back().mKeptUntil = it->second;
+      batch.mRecords.back().mKeptUntil = it->second;
     }
   }
-  return records;
+  return batch;
 }
 
 bool
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -22,6 +22,8 @@
   /** Both return whether the snapshot has changed. */
   bool ApplyListing(const std::vector<Record>& aRecords, uint64_t aRevision);
   bool ApplyChanges(const std::vector<Record>& aRecords, uint64_t aRevision);
+  /** Applies what a peer has sent; returns whether the snapshot has changed. */
+  bool Apply(const RecordBatch& aBatch);
 
   /** Record that the platform has failed or answered. Removals of endpoints
    * around an outage are delayed, because live ones are registered again soon
@@ -32,8 +34,9 @@
    */
   bool ExpireRemovals();
 
-  /** Undecoded items whose revision is above aRevision, for peers. */
-  std::vector<Record> RecordsSince(uint64_t aRevision) const;
+  /** Undecoded items for a peer that knows those up to aRevision: the newer
+   * ones, or all if some removals since then are not known here. */
+  RecordBatch RecordsSince(uint64_t aRevision) const;
   /** Revision up to which all changes are known. */
   uint64_t Revision() const { return mRevision; }
   std::shared_ptr<const Snapshot> Current() const { return mCurrent; }
@@ -54,6 +57,9 @@
   const global::IClock& mClock;
   std::map<std::string, Record> mRecords;
   uint64_t mRevision = 0;
+  /** Removals after this revision are all known. A listing does not tell what
+   * was removed before it. */
+  uint64_t mTombstonesSince = 0;
   std::shared_ptr<const Configuration> mConfiguration;
   std::map<std::string, Endpoint> mEndpointsByKey;
   std::map<std::string, std::string> mOutZonesByKey;
--- a/src/published/publishedtypes.h
+++ b/src/published/publishedtypes.h
@@ -184,4 +184,14 @@
   global::TimePoint mKeptUntil{};
 };
 
+/** Published items that one process sends to another. */
+struct RecordBatch
+{
+  uint64_t mRevision = 0;
+  /** All items as of that revision: what the batch leaves out is gone. If not
+   * set, the items are those that have changed since the revision asked for. */
+  bool mIsFull = false;
+  std::vector<Record> mRecords;
+};
+
 }
--- a/src/published/tests/publishedstatetest.cpp
+++ b/src/published/tests/publishedstatetest.cpp
@@ -127,13 +127,51 @@
   PublishedState peer(mCodec, mClock);
   peer.ApplyChanges({ { "x", "e x", 1 } }, 1);
 
-  peer.ApplyChanges(mState.RecordsSince(peer.Revision()), mState.Revision());
+  peer.Apply(mState.RecordsSince(peer.Revision()));
 
   CHECK(peer.Current()->FindEndpoint("x") == nullptr);
   CHECK(peer.Current()->FindEndpoint("y") != nullptr);
   LONGS_EQUAL(3, peer.Revision());
 }
 
+/** Guards against requests to an endpoint that was removed while all peers that
+ * could tell of it were down: a peer that starts lists the store without it. */
+TEST(PublishedState, APeerThatHasListedSinceARemovalTellsOfIt)
+{
+  PublishedState peer(mCodec, mClock);
+  const std::vector<Record> before{ { "out", "z a", 1 },
+                                    { "x", "e x", 2 },
+                                    { "y", "e y", 3 } };
+  peer.ApplyListing(before, 3);
+  mState.ApplyListing({ { "y", "e y", 3 } }, 5);
+
+  CHECK(peer.Apply(mState.RecordsSince(peer.Revision())));
+
+  CHECK(peer.Current()->FindEndpoint("x") == nullptr);
+  CHECK(peer.Current()->FindEndpoint("y") != nullptr);
+  CHECK(peer.Current()->OutZones().empty());
+  // What follows is told as changes.
+  mState.ApplyChanges({ { "y", "", 6, true } }, 6);
+  const RecordBatch changes = mState.RecordsSince(peer.Revision());
+  CHECK_FALSE(changes.mIsFull);
+  LONGS_EQUAL(1, changes.mRecords.size());
+}
+
+/** Guards against the loss of a removal that a second peer would have to pass
+ * on: one that has caught up by a whole listing knows no more removals. */
+TEST(PublishedState, APeerThatHasCaughtUpByAListingTellsOfRemovals)
+{
+  PublishedState second(mCodec, mClock);
+  PublishedState third(mCodec, mClock);
+  third.ApplyListing({ { "x", "e x", 2 } }, 2);
+  mState.ApplyListing({}, 5);
+
+  second.Apply(mState.RecordsSince(second.Revision()));
+  third.Apply(second.RecordsSince(third.Revision()));
+
+  CHECK(third.Current()->FindEndpoint("x") == nullptr);
+}
+
 TEST(PublishedState, AZoneIsOutOfServiceUntilItsItemIsRemoved)
 {
   mState.ApplyChanges({ { "out", "z a", 1 } }, 1);
@@ -149,13 +187,13 @@
   // Arrange: a store reader that has seen the outage, and its peer.
   PublishedState peer(mCodec, mClock);
   mState.ApplyChanges({ { "x", "e x", 5 } }, 5);
-  peer.ApplyChanges(mState.RecordsSince(0), 5);
+  peer.Apply(mState.RecordsSince(0));
   mState.RecordFailure();
 
   // Act: the registration of the endpoint lapses.
   mState.ApplyChanges({ { .mKey = "x", .mRevision = 6, .mIsDeleted = true } },
                       6);
-  peer.ApplyChanges(mState.RecordsSince(5), 6);
+  peer.Apply(mState.RecordsSince(5));
 
   CHECK(Has("x"));
   CHECK(peer.Current()->FindEndpoint("x") != nullptr);
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -97,8 +97,7 @@
 mesh::RecordBatch
 RankNode::RecordsSince(uint64_t aRevision) const
 {
-  return { mPublishedState.Revision(),
-           mPublishedState.RecordsSince(aRevision) };
+  return mPublishedState.RecordsSince(aRevision);
 }
 
 uint64_t
@@ -110,7 +109,7 @@
 void
 RankNode::HandleRecords(const mesh::RecordBatch& aBatch)
 {
-  mPublishedState.ApplyChanges(aBatch.mRecords, aBatch.mRevision);
+  mPublishedState.Apply(aBatch);
   const auto snapshot = mPublishedState.Current();
   const net::TcpAddress own = net::ParseTcpAddress(mEndpointAddress);
   for (const auto& [id, endpoint] : snapshot->AllEndpoints()) {
