Write an answer whole before its connection closes

Cause: the last owner of a connection let go of it as soon as its answer had ended, and the socket was closed with the bytes that the kernel had not taken yet. Fast callers lost answers of some 150 kB too. An idle connection whose last answer was still being written was closed in the same way, by the stop and by the idle timeout.

The connection now ends only when the kernel has taken all, at most 30 s after the answer, and discards what the peer sends meanwhile. The bytes that a peer has not acknowledged when it goes away are counted, for the log.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -78,8 +78,14 @@
   /** Whether a part of a request has arrived. */
   bool IsReceiving() const { return mHasHead || !mInput.empty(); }
   bool IsOpen() const { return mSocket->IsOpen(); }
-  /** Closes in order a connection that has no request. */
+  /** Whether the connection closes once its last answer is written. */
+  bool IsEnding() const { return mIsEnding; }
+  /** Closes in order a connection that has no request, once its last answer is
+   * written. */
   void Close();
+  /** Once the connection has ended: bytes of the answer that did not reach the
+   * peer's side. */
+  size_t Undelivered() const { return mSocket->Undelivered(); }
 
 private:
   using Parser = http::request_parser<http::string_body>;
@@ -114,6 +120,8 @@
   bool mIsHttp11 = true;
   bool mIsHeadRequest = false;
   bool mIsClosing = false;
+  /** The last answer is being written; the connection closes after it. */
+  bool mIsEnding = false;
 };
 
 }
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -12,6 +12,9 @@
 /** Idle time granted beyond the limit, so that a request sent at the limit does
  * not cross the close. */
 constexpr std::chrono::milliseconds kIdleSlack{ 500 };
+/** Longest time that a peer may take to read the rest of its last answer.
+ * Longer than callers wait for one. */
+constexpr std::chrono::milliseconds kMaxCloseTime{ 30000 };
 /** When a peer had best come back whose request could not be held. */
 constexpr char kRetryAfterSeconds[] = "1";
 
@@ -298,13 +301,7 @@
   }
   mIsChunked = false;
   if (!mIsKeepAlive) {
-    const auto onGone = std::move(mHandlers.mOnGone);
-    mHandlers = {};
-    mTimer.stop();
-    mSocket->CloseAfterWrite();
-    if (onGone) {
-      onGone();
-    }
+    Close();
     return;
   }
   if (mSocket->IsOpen()) {
@@ -323,9 +320,17 @@
 void
 HttpServerConnection::Close()
 {
-  const auto self = shared_from_this();
-  mSocket->Close();
-  HandleClosed();
+  if (mIsEnding) {
+    return;
+  }
+  mIsEnding = true;
+  mTimer.start(kMaxCloseTime);
+  const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
+  mSocket->CloseAfterWrite([weak](CloseReason) {
+    if (const auto self = weak.lock()) {
+      self->HandleClosed();
+    }
+  });
 }
 
 void
@@ -343,6 +348,10 @@
 void
 HttpServerConnection::HandleTimeout()
 {
+  if (mIsEnding) {
+    Cut();
+    return;
+  }
   if (mHasRequest) {
     return;
   }
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -7,8 +7,10 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -189,15 +191,16 @@
 }
 
 void
-TcpSocket::CloseAfterWrite()
+TcpSocket::CloseAfterWrite(std::function<void(CloseReason)> aOnClosed)
 {
   mHandlers = {};
+  mHandlers.mOnClosed = std::move(aOnClosed);
+  mIsClosing = true;
   if (Pending() == 0 || !mIsConnected) {
-    Release();
+    Fail(CloseReason::Finished);
     return;
   }
-  mIsClosing = true;
-  SetReading(false);
+  SetReading(true);
 }
 
 void
@@ -256,7 +259,7 @@
   }
   Flush();
   if (mIsClosing && Pending() == 0) {
-    Release();
+    Fail(mHasFailedWrite ? CloseReason::Reset : CloseReason::Finished);
     return;
   }
   if (Pending() == 0 && mHandlers.mOnDrained) {
@@ -302,6 +305,9 @@
     }
     mOutputStart += static_cast<size_t>(n);
   }
+  if (mHasFailedWrite) {
+    mUndelivered = Pending();
+  }
   if (Pending() == 0 || mHasFailedWrite) {
     mOutput.clear();
     mOutputStart = 0;
@@ -320,12 +326,23 @@
 {
   const auto onClosed = std::move(mHandlers.mOnClosed);
   mHandlers = {};
+  if (aReason == CloseReason::Reset || Pending() > 0) {
+    mUndelivered += Pending() + Unacknowledged();
+  }
   Release();
   if (onClosed) {
     onClosed(aReason);
   }
 }
 
+size_t
+TcpSocket::Unacknowledged() const
+{
+  int n = 0;
+  return ioctl(mDescriptor, SIOCOUTQ, &n) == 0 && n > 0 ? static_cast<size_t>(n)
+                                                        : 0;
+}
+
 void
 TcpSocket::Release()
 {
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -66,10 +66,15 @@
   void Write(std::string_view aBytes);
   /** Bytes written that the kernel has not taken. */
   size_t Pending() const { return mOutput.size() - mOutputStart; }
+  /** Once the connection has ended: bytes written that the peer's side has not
+   * acknowledged. */
+  size_t Undelivered() const { return mUndelivered; }
   void SetReading(bool aIsReading);
-  /** Ends the connection once pending bytes are out. No handler is called any
-   * more. */
-  void CloseAfterWrite();
+  /** Closes in order once the kernel has taken the pending bytes, at once if
+   * there are none. Only aOnClosed is called from then on: with Finished, or
+   * otherwise if the peer ends the connection before. What the peer sends is
+   * discarded. */
+  void CloseAfterWrite(std::function<void(CloseReason)> aOnClosed);
   /** Ends the connection at once; with a reset, so that the peer cannot take
    * a cut answer for whole. No handler is called any more. */
   void Abort();
@@ -88,6 +93,9 @@
   void FinishConnecting();
   void Flush();
   void Fail(CloseReason aReason);
+  /** Bytes that the kernel has taken and the peer's side has not acknowledged.
+   */
+  size_t Unacknowledged() const;
   void Release();
 
   int mDescriptor = -1;
@@ -97,6 +105,7 @@
   bool mHasFailedWrite = false;
   std::string mOutput;
   size_t mOutputStart = 0;
+  size_t mUndelivered = 0;
   Handlers mHandlers;
   QSocketNotifier* mReadNotifier = nullptr;
   QSocketNotifier* mWriteNotifier = nullptr;
