Stop the process only when no caller's connection is left

Callers saw: a request on a kept connection ran at an endpoint, and its connection ended without an answer as the gateway exited; no line of the gateway's log named the request (LOST).

Cause: the process exited as soon as it accepted no connections and no request was open. Idle connections were closed 150 ms later only, and the gRPC server is stopped before the traffic, for up to 200 ms. A request that came in between was sent on and cut, without a line. Answers still being written were not waited for either.

Evidence: the logs of the soak say "Stopped accepting connections. connections=2 openRequests=0" and 2 ms later "All work has ended". The users' record has no line for its requests either.

The traffic has ended when nothing is accepted and no connection is left, so no request can come. What is still open when the grace time ends is answered with 502, or 503 if it has not run, and logged; so are answers that end undelivered, which the log has called "answered" until now.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -689,6 +689,17 @@
   Finish(499, "caller disconnected");
 }
 
+void
+Exchange::HandleStop()
+{
+  if (mIsFinished) {
+    return;
+  }
+  const auto self = shared_from_this();
+  mMayHaveExecuted = mMayHaveExecuted || mAttempt != nullptr;
+  FailRequest("the gateway stops");
+}
+
 void
 Exchange::RespondLocally(unsigned aStatus,
                          const std::string& aReason,
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -22,6 +22,10 @@
            std::function<void()> aOnEnd);
 
   void Start();
+  /** Id that the caller gave the request. */
+  const std::string& Id() const { return mMetadata.mRequestId; }
+  /** Ends the request at once, because the process stops. */
+  void HandleStop();
   /** Cancels the attempt in progress, because the caller has disconnected. */
   void HandleCallerGone();
   /** Resumes reading from the endpoint, because the caller has read the data
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -157,11 +157,16 @@
 bool
 GatewayNode::IsDrained() const
 {
-  const auto now = mClock.Now();
-  if (now >= mDrainDeadline) {
+  if (mTraffic.HasEnded()) {
     return true;
   }
-  return mHasStoppedAccepting && mTraffic.OpenRequests() == 0;
+  if (mClock.Now() < mDrainDeadline) {
+    return false;
+  }
+  LOGW("The grace time ends before the callers' traffic. openRequests="
+       << mTraffic.OpenRequests()
+       << " openConnections=" << mTraffic.OpenConnections());
+  return true;
 }
 
 void
@@ -184,6 +189,7 @@
            { "readsStore", mIsReadingStore },
            { "storeReachable", mIsStoreReachable },
            { "openRequests", mTraffic.OpenRequests() },
+           { "openConnections", mTraffic.OpenConnections() },
            { "leaving", mIsDraining } };
 }
 
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -16,9 +16,9 @@
                          const IRequestCodec& aCodec,
                          metrics::Metrics& aMetrics,
                          const std::string& aAvailabilityZone,
-                         std::atomic<int>& aOpenRequests)
+                         OpenTraffic& aOpen)
   : mContext(aClock, aCodec, aMetrics, aAvailabilityZone)
-  , mOpenRequests(aOpenRequests)
+  , mOpen(aOpen)
 {
   QObject::connect(&mIdleTimer, &QTimer::timeout, &mIdleTimer, [this] {
     CloseIdleConnections();
@@ -28,8 +28,13 @@
 TrafficCore::~TrafficCore()
 {
   mListener.Close();
-  for (auto& [id, caller] : mCallers) {
-    caller.mConnection->Start({});
+  const auto callers = std::exchange(mCallers, {});
+  for (const auto& [id, caller] : callers) {
+    if (const auto exchange = caller.mExchange) {
+      exchange->HandleStop();
+    } else if (caller.mConnection->Pending() > 0) {
+      LogUndelivered(caller, caller.mConnection->Pending());
+    }
   }
 }
 
@@ -60,6 +65,7 @@
   const auto connection = std::make_shared<net::HttpServerConnection>(
     std::move(aSocket), mContext.mClock, ConnectionLimits());
   mCallers[id].mConnection = connection;
+  ++mOpen.mConnections;
   connection->Start(HandlersFor(id));
 }
 
@@ -93,16 +99,17 @@
 TrafficCore::BeginRequest(uint64_t aId, net::ServerRequest aRequest)
 {
   Caller& caller = mCallers[aId];
-  ++mOpenRequests;
+  ++mOpen.mRequests;
   const auto exchange = std::make_shared<Exchange>(
     mContext, caller.mConnection, std::move(aRequest), [this, aId] {
-      --mOpenRequests;
+      --mOpen.mRequests;
       if (const auto it = mCallers.find(aId); it != mCallers.end()) {
         it->second.mExchange.reset();
         ReleaseBytes(it->second);
       }
     });
   caller.mExchange = exchange;
+  caller.mLastRequest = exchange->Id();
   exchange->Start();
 }
 
@@ -116,11 +123,21 @@
   ReleaseBytes(it->second);
   const Caller caller = std::move(it->second);
   mCallers.erase(it);
+  --mOpen.mConnections;
   if (caller.mExchange) {
     caller.mExchange->HandleCallerGone();
+  } else if (const size_t n = caller.mConnection->Undelivered(); n > 0) {
+    LogUndelivered(caller, n);
   }
 }
 
+void
+TrafficCore::LogUndelivered(const Caller& aCaller, size_t aBytes)
+{
+  LOGW("A connection ended before its last answer was delivered. request="
+       << aCaller.mLastRequest << " undeliveredBytes=" << aBytes);
+}
+
 bool
 TrafficCore::ReserveBytes(uint64_t aId, size_t aBytes)
 {
@@ -154,8 +171,9 @@
 {
   mListener.AcceptPending();
   mListener.Close();
+  mOpen.mIsAccepting = false;
   LOGI("Stopped accepting connections. connections="
-       << mCallers.size() << " openRequests=" << mOpenRequests);
+       << mCallers.size() << " openRequests=" << mOpen.mRequests);
   mIdleTimer.start(kIdleCloseDelay);
 }
 
@@ -164,7 +182,9 @@
 {
   std::vector<std::shared_ptr<net::HttpServerConnection>> idle;
   for (const auto& [id, caller] : mCallers) {
-    if (!caller.mExchange && !caller.mConnection->IsReceiving()) {
+    const net::HttpServerConnection& connection = *caller.mConnection;
+    if (!caller.mExchange && !connection.IsReceiving() &&
+        !connection.IsEnding()) {
       idle.push_back(caller.mConnection);
     }
   }
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -9,6 +9,15 @@
 
 namespace beryllever::gateway {
 
+/** What is left of the callers' traffic; written on the traffic thread. */
+struct OpenTraffic
+{
+  std::atomic<bool> mIsAccepting = true;
+  std::atomic<int> mConnections = 0;
+  /** Requests whose answer is not complete. */
+  std::atomic<int> mRequests = 0;
+};
+
 /** Connections of callers and their requests. Lives on the traffic thread. */
 class TrafficCore
 {
@@ -17,13 +26,14 @@
               const IRequestCodec& aCodec,
               metrics::Metrics& aMetrics,
               const std::string& aAvailabilityZone,
-              std::atomic<int>& aOpenRequests);
+              OpenTraffic& aOpen);
   ~TrafficCore();
 
   bool Listen(const net::TcpAddress& aAddress);
   void BeginDraining();
   /** Closes the listener. Connections that have been accepted may still bring a
-   * request; idle ones are closed soon after. */
+   * request; idle ones are closed soon after. The traffic has ended when no
+   * connection is left. */
   void StopAccepting();
   void UpdateLoad(const net::TcpAddress& aEndpoint,
                   int aRequests,
@@ -38,6 +48,8 @@
     std::shared_ptr<Exchange> mExchange;
     /** Bytes reserved for the body of its request. */
     int64_t mReservedBytes = 0;
+    /** Id of its last request. */
+    std::string mLastRequest;
   };
 
   void Accept(std::shared_ptr<net::TcpSocket> aSocket);
@@ -45,6 +57,9 @@
   void BeginRequest(uint64_t aId, net::ServerRequest aRequest);
   void RemoveCaller(uint64_t aId);
   void CloseIdleConnections();
+  /** Notes an answer that the caller does not get whole, although its request
+   * has ended. */
+  static void LogUndelivered(const Caller& aCaller, size_t aBytes);
   /** Reserves bytes for the body of a caller's request. Returns false if the
    * limit would be exceeded. */
   bool ReserveBytes(uint64_t aId, size_t aBytes);
@@ -52,7 +67,7 @@
   net::ServerLimits ConnectionLimits() const;
 
   TrafficContext mContext;
-  std::atomic<int>& mOpenRequests;
+  OpenTraffic& mOpen;
   net::TcpListener mListener;
   /** Runs once connections are accepted no more. */
   QTimer mIdleTimer;
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -13,6 +13,7 @@
   , mCodec(aCodec)
   , mMetrics(aMetrics)
   , mAvailabilityZone(std::move(aAvailabilityZone))
+  , mOpen(std::make_unique<OpenTraffic>())
 {
 }
 
@@ -31,7 +32,7 @@
     &mContext,
     [&] {
       mCore = std::make_unique<TrafficCore>(
-        mClock, mCodec, mMetrics, mAvailabilityZone, mOpenRequests);
+        mClock, mCodec, mMetrics, mAvailabilityZone, *mOpen);
       mCore->Context().mPromptGuard.SetAnnounce(mAnnounceParts);
       isListening = mCore->Listen(aAddress);
     },
@@ -98,4 +99,22 @@
   transport::Post(&mContext, [this] { mCore->BeginDraining(); });
 }
 
+int
+TrafficServer::OpenRequests() const
+{
+  return mOpen->mRequests;
+}
+
+int
+TrafficServer::OpenConnections() const
+{
+  return mOpen->mConnections;
+}
+
+bool
+TrafficServer::HasEnded() const
+{
+  return !mOpen->mIsAccepting && mOpen->mConnections == 0;
+}
+
 }
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -9,7 +9,6 @@
 
 #include <QObject>
 #include <QThread>
-#include <atomic>
 #include <memory>
 
 namespace beryllever::metrics {
@@ -19,6 +18,7 @@
 namespace beryllever::gateway {
 
 struct LoadReport;
+struct OpenTraffic;
 class TrafficCore;
 
 /**
@@ -58,7 +58,12 @@
   /** Accepts no more requests; requests in progress are completed. */
   void StopAccepting();
   /** Number of requests whose response is not complete. */
-  int OpenRequests() const { return mOpenRequests; }
+  int OpenRequests() const;
+  /** Number of connections of callers. */
+  int OpenConnections() const;
+  /** Whether no connection is accepted and none is left, so that no further
+   * request can arrive and all responses are written. */
+  bool HasEnded() const;
 
 private:
   const global::IClock& mClock;
@@ -68,8 +73,8 @@
   std::function<void(const quarantine::Notices&)> mAnnounceParts;
   QThread mThread;
   QObject mContext;
+  const std::unique_ptr<OpenTraffic> mOpen;
   std::unique_ptr<TrafficCore> mCore;
-  std::atomic<int> mOpenRequests = 0;
 };
 
 }
