Do not cut callers that stop reading for a while

Callers saw: a connection reset in the middle of an answer, at any time, if they read slowly or paused for 2.5 s; the log called the request "answered" (LOST).

Cause: TCP_USER_TIMEOUT of 2.5 s on accepted connections. Linux applies it also to a peer that acknowledges every probe with a closed window, and a slow reader opens its window too little to end the count.

Accepted connections go without the option. Connections that we open keep the option: a silent endpoint must be found while callers wait.

--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -23,8 +23,11 @@
 /** Reads in a row before other connections get their turn. */
 constexpr int kReadsPerTurn = 4;
 constexpr int kBacklog = 512;
-/** Time without acknowledgement after which a connection counts as broken; with
- * the probes below it finds a silent one within about 2.5 s. */
+/** Time without acknowledgement after which a connection of our own counts as
+ * broken; with the probes below it finds a silent one within about 2.5 s. Linux
+ * applies it to a peer that acknowledges all probes but does not read, too.
+ * Callers may do that for as long as they wait for an answer, so accepted
+ * connections go without; the deadlines of their requests bound them. */
 constexpr unsigned kUserTimeoutMilliseconds = 2500;
 constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
@@ -113,6 +116,8 @@
     return socket;
   }
   socket->Configure();
+  SetOption<unsigned>(
+    descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
   const sockaddr_in native = ToNative(aAddress);
   if (connect(descriptor,
               reinterpret_cast<const sockaddr*>(&native),
@@ -140,8 +145,6 @@
   SetOption<int>(
     mDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
   SetOption<int>(mDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-  SetOption<unsigned>(
-    mDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
 }
 
 void
