Hold signals back while a process starts

Callers saw: a gateway away for its restart delay after a change of its settings file. Cause: a SIGHUP that arrived between the start of the program and the watcher of signals ended the process, without a line in its log.

The signals are blocked first thing in main and handled once the modules have started. Until the program is loaded, a SIGHUP still ends it.

--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -9,6 +9,11 @@
 
 namespace beryllever::app {
 
+/** Holds signals back until Daemon::Run() handles them. Called before any thread
+ * is started. Otherwise a SIGHUP during the start would end the process. */
+void
+BlockSignals();
+
 /** Runs the modules of one process until a signal requests the stop. */
 class Daemon
 {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -17,6 +17,7 @@
 main(int aCount, char** aArguments)
 {
   using namespace beryllever;
+  app::BlockSignals();
   CLI::App options{
     "berylleverd: one process of the load balancer beryllever.\n"
     "The settings select its role: entry, agent in front of a back end, "
