Read an endpoint's connection again after a slow caller

Callers saw: a request got no answer until its attempt timed out, for non-idempotent ones a 504 at the deadline, though its endpoint answered at once.

Cause: reading from the endpoint is paused while a caller is behind. If the answer ended in the very bytes that put its caller behind, the connection went back to the pool with reading off, and the next request on it waited.

Evidence: the review had read this in the code. The new test failed before: no answer within 4 s; now it takes some milliseconds.

The end of an answer turns reading on again, whoever has turned it off.

--- a/src/framework/net/internal/httpclientconnection.cpp
+++ b/src/framework/net/internal/httpclientconnection.cpp
@@ -251,6 +251,8 @@
 {
   const auto self = shared_from_this();
   mIsBusy = false;
+  // Reading may have been paused for the one who took this answer.
+  mSocket->SetReading(true);
   const auto onEnd = std::move(mHandlers.mOnEnd);
   mHandlers = {};
   if (onEnd) {
