Log what is undelivered when a connection is broken off

An answer that its caller does not read for 30 s ends with a reset by the gateway, and the log did not say how much of it was under way. A connection also keeps itself alive while it closes.

--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -323,6 +323,7 @@
   if (mIsEnding) {
     return;
   }
+  const auto self = shared_from_this();
   mIsEnding = true;
   mTimer.start(kMaxCloseTime);
   const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -210,6 +210,7 @@
 TcpSocket::Abort()
 {
   if (IsOpen()) {
+    mUndelivered = Pending() + Unacknowledged();
     const linger reset{ .l_onoff = 1, .l_linger = 0 };
     SetOption(mDescriptor, SOL_SOCKET, SO_LINGER, reset);
   }
