--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -9,8 +9,9 @@
 
 namespace beryllever::app {
 
-/** Holds signals back until Daemon::Run() handles them. Called before any thread
- * is started. Otherwise a SIGHUP during the start would end the process. */
+/** Holds signals back until Daemon::Run() handles them. Called before any
+ * thread is started. Otherwise a SIGHUP during the start would end the process.
+ */
 void
 BlockSignals();
 
