Log when a request came to a stopping gateway, and on which connection

An operator could not tell a request that the process should not have taken any more from one that it had when the SIGTERM came, nor a kept connection from a new one: the line at the end of a request said neither, and there was no line for the SIGTERM itself.

The times of a stop are one value now, StopSchedule. No decision changes.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -18,6 +18,8 @@
   bool mHasBody = false;
   /** When the head was complete. */
   global::TimePoint mArrival;
+  /** Number of the request on its connection, from 1. */
+  int mOrdinal = 1;
 
   std::string_view Path() const;
 };
@@ -113,6 +115,7 @@
   size_t mHeldBytes = 0;
   QTimer mTimer;
   global::TimePoint mArrival{};
+  int mRequests = 0;
   bool mHasHead = false;
   bool mHasRequest = false;
   bool mIsChunked = false;
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -188,7 +188,8 @@
                          .mFields = message.base(),
                          .mBody = std::move(message.body()),
                          .mHasBody = hasBody,
-                         .mArrival = mArrival };
+                         .mArrival = mArrival,
+                         .mOrdinal = ++mRequests };
   if (const auto onRequest = mHandlers.mOnRequest) {
     onRequest(std::move(request));
   }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -358,7 +358,7 @@
 Exchange::ForwardHead()
 {
   mAttempt->mIsForwarded = true;
-  if (mContext.mIsDraining) {
+  if (mContext.mStop) {
     mCaller->AnnounceClose();
   }
   mResponse.Begin(*mAttempt->mHead);
@@ -513,7 +513,7 @@
     mResponse.End();
     return;
   }
-  if (mContext.mIsDraining) {
+  if (mContext.mStop) {
     mCaller->AnnounceClose();
   }
   mResponse.BeginWhole(status);
@@ -697,6 +697,8 @@
   }
   const auto self = shared_from_this();
   mMayHaveExecuted = mMayHaveExecuted || mAttempt != nullptr;
+  mContext.mMetrics.Count("beryllever_requests_ended_by_stop",
+                          { { "sent", mMayHaveExecuted ? "1" : "0" } });
   FailRequest("the gateway stops");
 }
 
@@ -711,7 +713,7 @@
     mContext.mCodec.LocalResponseFields(mMetadata.mRequestId, aRetryAfter);
   fields.set(http::field::content_type, "text/plain");
   const auto caller = mCaller;
-  if (mContext.mIsDraining) {
+  if (mContext.mStop) {
     caller->AnnounceClose();
   }
   Finish(aStatus, aReason);
@@ -741,8 +743,9 @@
     mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
   LOGI("Ended. request="
        << mMetadata.mRequestId << " route=" << route << " pool=" << mPool
-       << " endpoint=" << mLastEndpoint << " status=" << aStatus
-       << " attempts=" << mAttempts << " firstByteMilliseconds="
+       << " endpoint=" << mLastEndpoint << " status=" << aStatus << " attempts="
+       << mAttempts << " connectionRequest=" << mRequest.mOrdinal
+       << StopFields() << " firstByteMilliseconds="
        << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
        << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
        << " milliseconds=" << Elapsed().count() << " version="
@@ -759,6 +762,17 @@
   }
 }
 
+std::string
+Exchange::StopFields() const
+{
+  if (!mContext.mStop) {
+    return "";
+  }
+  const auto age =
+    duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
+  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count());
+}
+
 milliseconds
 Exchange::RemainingTime() const
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -109,6 +109,9 @@
    * for complete. */
   void AbortResponse(const std::string& aReason);
   void Finish(unsigned aStatus, const std::string& aOutcome);
+  /** Field of the log that tells when a request came to a process that is told
+   * to stop; empty before that. */
+  std::string StopFields() const;
   milliseconds RemainingTime() const;
   milliseconds Elapsed() const;
   /** Delay after which the caller should retry a request that has not run. */
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 constexpr char kLogTag[] = "gateway";
@@ -141,17 +142,20 @@
 void
 GatewayNode::BeginDraining()
 {
-  mIsDraining = true;
   const auto now = mClock.Now();
-  mDrainDeadline = now + mSite.mTerminationGracePeriod - kStopReserve;
-  const auto maxAcceptTime = std::chrono::duration_cast<milliseconds>(
+  const auto maxAcceptTime = duration_cast<milliseconds>(
     mSite.mTerminationGracePeriod * kAcceptGraceFraction);
-  mAcceptDeadline =
-    now + std::min<milliseconds>(mSite.mTimeToLive + kCachedAddressMargin,
-                                 maxAcceptTime);
+  const auto acceptTime = std::min<milliseconds>(
+    mSite.mTimeToLive + kCachedAddressMargin, maxAcceptTime);
+  const auto stopTime = mSite.mTerminationGracePeriod - kStopReserve;
+  mStop = { now, now + acceptTime, now + stopTime };
+  LOGI("The gateway is told to stop. acceptMilliseconds="
+       << acceptTime.count() << " stopMilliseconds=" << stopTime.count()
+       << " openRequests=" << mTraffic.OpenRequests()
+       << " openConnections=" << mTraffic.OpenConnections());
   UpdateServing();
   mMesh.Announce();
-  mTraffic.BeginDraining();
+  mTraffic.BeginDraining(*mStop);
 }
 
 bool
@@ -160,7 +164,7 @@
   if (mTraffic.HasEnded()) {
     return true;
   }
-  if (mClock.Now() < mDrainDeadline) {
+  if (mClock.Now() < mStop->mEnd) {
     return false;
   }
   LOGW("The grace time ends before the callers' traffic. openRequests="
@@ -190,13 +194,13 @@
            { "storeReachable", mIsStoreReachable },
            { "openRequests", mTraffic.OpenRequests() },
            { "openConnections", mTraffic.OpenConnections() },
-           { "leaving", mIsDraining } };
+           { "leaving", mStop.has_value() } };
 }
 
 std::string
 GatewayNode::NotReadyReason() const
 {
-  if (mIsDraining) {
+  if (mStop) {
     return "the gateway is stopping";
   }
   return mState.Current()->IsKnown() ? "" : "no configuration is known";
@@ -267,8 +271,7 @@
 milliseconds
 GatewayNode::StoreSilence() const
 {
-  return std::chrono::duration_cast<milliseconds>(mClock.Now() -
-                                                  mLastStoreContact);
+  return duration_cast<milliseconds>(mClock.Now() - mLastStoreContact);
 }
 
 void
@@ -413,7 +416,8 @@
   if (mState.ExpireRemovals()) {
     UpdateSnapshot("expiry");
   }
-  if (mIsDraining && !mHasStoppedAccepting && mClock.Now() >= mAcceptDeadline) {
+  if (mStop && !mHasStoppedAccepting &&
+      mClock.Now() >= mStop->mAcceptDeadline) {
     mTraffic.StopAccepting();
     mHasStoppedAccepting = true;
   }
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -108,13 +108,10 @@
   int64_t mVersion = 0;
   /** Last revision announced to the peers that do not read the store. */
   uint64_t mAnnouncedRevision = 0;
-  bool mIsDraining = false;
+  /** Set once the gateway is told to stop. */
+  std::optional<StopSchedule> mStop;
   bool mKnowsAllGateways = false;
   bool mHasStoppedAccepting = false;
-  /** When a gateway that is shutting down stops accepting requests. */
-  global::TimePoint mAcceptDeadline{};
-  /** When it exits even if requests are still in progress. */
-  global::TimePoint mDrainDeadline{};
 };
 
 }
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -7,10 +7,12 @@
 #include "gateway/poolretrybudget.h"
 #include "gateway/requestcodec.h"
 #include "gateway/sitelimits.h"
+#include "gateway/stopschedule.h"
 
 #include <QTimer>
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace beryllever::gateway {
 
@@ -45,7 +47,8 @@
   EndpointConnections mConnections;
   PromptGuard mPromptGuard;
   std::mt19937_64 mRandom;
-  bool mIsDraining = false;
+  /** Set once the process is told to stop. */
+  std::optional<StopSchedule> mStop;
 
 private:
   void RetryQueued();
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -161,9 +161,9 @@
 }
 
 void
-TrafficCore::BeginDraining()
+TrafficCore::BeginDraining(const StopSchedule& aSchedule)
 {
-  mContext.mIsDraining = true;
+  mContext.mStop = aSchedule;
 }
 
 void
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -30,7 +30,7 @@
   ~TrafficCore();
 
   bool Listen(const net::TcpAddress& aAddress);
-  void BeginDraining();
+  void BeginDraining(const StopSchedule& aSchedule);
   /** Closes the listener. Connections that have been accepted may still bring a
    * request; idle ones are closed soon after. The traffic has ended when no
    * connection is left. */
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -94,9 +94,10 @@
 }
 
 void
-TrafficServer::BeginDraining()
+TrafficServer::BeginDraining(const StopSchedule& aSchedule)
 {
-  transport::Post(&mContext, [this] { mCore->BeginDraining(); });
+  transport::Post(&mContext,
+                  [this, aSchedule] { mCore->BeginDraining(aSchedule); });
 }
 
 int
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -4,6 +4,7 @@
 #include "gateway/gatewayfleet.h"
 #include "gateway/requestcodec.h"
 #include "gateway/sitelimits.h"
+#include "gateway/stopschedule.h"
 #include "published/snapshot.h"
 #include "quarantine/promptquarantine.h"
 
@@ -54,7 +55,7 @@
   /** Takes what other gateways tell about parts of prompts. */
   void ApplyPartNotices(const quarantine::Notices& aNotices);
   /** Adds "Connection: close" to responses that begin from now on. */
-  void BeginDraining();
+  void BeginDraining(const StopSchedule& aSchedule);
   /** Accepts no more requests; requests in progress are completed. */
   void StopAccepting();
   /** Number of requests whose response is not complete. */
