Take no request that may outlast a planned stop

Callers saw: a stream that an endpoint ran ended in the middle, 7.7 s after the SIGTERM of its gateway, though it had been sent 3.5 to 6.5 s after it (LOST).

Cause: a stream whose head went out before the SIGTERM could not tell its caller to close. When it ended, its connection was kept, and the next request on it was sent to an endpoint, whatever time was left. Whether a request may be taken was decided for connections only, by closing the listener.

Now each request is asked: once the time for accepting is over, it is taken only if its own deadline ends before the grace time does, so that nothing but that deadline can end it. Any other gets 503, not run, Retry-After 0, at once. A kept connection is closed 150 ms after its last answer, by its own idle time: closed with the answer, it would meet a request that callers send at once, and these could not tell whether that has run.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -74,14 +74,14 @@
   void Cut();
   /** Bytes of the answer that the peer's side has not taken. */
   size_t Pending() const { return mSocket->Pending(); }
-  /** Answers from now on tell the peer to close. */
-  void AnnounceClose() { mIsClosing = true; }
+  /** Answers that begin from now on tell the peer to close. A peer that has not
+   * been told so may send one more request at once; after that the connection
+   * is closed as idle. */
+  void AnnounceClose();
   bool HasRequest() const { return mHasRequest; }
   /** Whether a part of a request has arrived. */
   bool IsReceiving() const { return mHasHead || !mInput.empty(); }
   bool IsOpen() const { return mSocket->IsOpen(); }
-  /** Whether the connection closes once its last answer is written. */
-  bool IsEnding() const { return mIsEnding; }
   /** Closes in order a connection that has no request, once its last answer is
    * written. */
   void Close();
@@ -103,6 +103,7 @@
   void HandleClosed();
   void HandleTimeout();
   void BeginNext();
+  std::chrono::milliseconds IdleTime() const;
   std::string ConnectionHead(unsigned aStatus, http::fields& aFields);
 
   std::shared_ptr<TcpSocket> mSocket;
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -12,6 +12,9 @@
 /** Idle time granted beyond the limit, so that a request sent at the limit does
  * not cross the close. */
 constexpr std::chrono::milliseconds kIdleSlack{ 500 };
+/** Idle time of a connection that is to close without its peer having been told
+ * so: for a request that is on its way. */
+constexpr std::chrono::milliseconds kLastIdleTime{ 150 };
 /** Longest time that a peer may take to read the rest of its last answer.
  * Longer than callers wait for one. */
 constexpr std::chrono::milliseconds kMaxCloseTime{ 30000 };
@@ -87,6 +90,21 @@
   BeginNext();
 }
 
+void
+HttpServerConnection::AnnounceClose()
+{
+  mIsClosing = true;
+  if (!mHasRequest && !IsReceiving() && !mIsEnding) {
+    mTimer.start(IdleTime());
+  }
+}
+
+std::chrono::milliseconds
+HttpServerConnection::IdleTime() const
+{
+  return mIsClosing ? kLastIdleTime : mLimits.mIdleTimeout + kIdleSlack;
+}
+
 void
 HttpServerConnection::BeginNext()
 {
@@ -98,7 +116,7 @@
   mHasRequest = false;
   mHeldBytes = 0;
   mSocket->SetReading(true);
-  mTimer.start(mLimits.mIdleTimeout + kIdleSlack);
+  mTimer.start(IdleTime());
   if (!mInput.empty()) {
     mTimer.start(mLimits.mHeaderTimeout);
     Parse();
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -110,6 +110,11 @@
     return;
   }
   SetDeadlines();
+  if (mContext.mStop &&
+      !mContext.mStop->MayTake(mRequest.mArrival, mDeadline)) {
+    RefuseForStop();
+    return;
+  }
   mContext.RetryBudgetFor(mPool).RecordRequest();
   PlaceRequest();
 }
@@ -133,6 +138,14 @@
   return true;
 }
 
+void
+Exchange::RefuseForStop()
+{
+  mContext.mMetrics.Count("beryllever_stop_refusals");
+  // Other gateways take it at once.
+  RespondLocally(503, "the gateway is stopping", milliseconds(0));
+}
+
 void
 Exchange::SetDeadlines()
 {
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,6 +57,8 @@
    * responds with the reason and returns false. */
   bool TryAdmit();
   void SetDeadlines();
+  /** Refuses a request that may not be complete before the process ends. */
+  void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
   void PlaceRequest();
   void WaitForEndpoint();
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr char kLogTag[] = "traffic";
-/** Time for a request that was on its way when the listener was closed. */
-constexpr milliseconds kIdleCloseDelay{ 150 };
 
 }
 
@@ -20,9 +18,6 @@
   : mContext(aClock, aCodec, aMetrics, aAvailabilityZone)
   , mOpen(aOpen)
 {
-  QObject::connect(&mIdleTimer, &QTimer::timeout, &mIdleTimer, [this] {
-    CloseIdleConnections();
-  });
 }
 
 TrafficCore::~TrafficCore()
@@ -172,28 +167,11 @@
   mListener.AcceptPending();
   mListener.Close();
   mOpen.mIsAccepting = false;
-  LOGI("Stopped accepting connections. connections="
-       << mCallers.size() << " openRequests=" << mOpen.mRequests);
-  mIdleTimer.start(kIdleCloseDelay);
-}
-
-void
-TrafficCore::CloseIdleConnections()
-{
-  std::vector<std::shared_ptr<net::HttpServerConnection>> idle;
   for (const auto& [id, caller] : mCallers) {
-    const net::HttpServerConnection& connection = *caller.mConnection;
-    if (!caller.mExchange && !connection.IsReceiving() &&
-        !connection.IsEnding()) {
-      idle.push_back(caller.mConnection);
-    }
-  }
-  for (const auto& connection : idle) {
-    connection->Close();
-  }
-  if (!idle.empty()) {
-    LOGI("Closed idle connections. connections=" << idle.size());
+    caller.mConnection->AnnounceClose();
   }
+  LOGI("Stopped accepting connections. connections="
+       << mCallers.size() << " openRequests=" << mOpen.mRequests);
 }
 
 void
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -3,7 +3,6 @@
 #include "framework/net/httpserverconnection.h"
 #include "gateway/internal/exchange.h"
 
-#include <QTimer>
 #include <atomic>
 #include <map>
 
@@ -32,8 +31,8 @@
   bool Listen(const net::TcpAddress& aAddress);
   void BeginDraining(const StopSchedule& aSchedule);
   /** Closes the listener. Connections that have been accepted may still bring a
-   * request; idle ones are closed soon after. The traffic has ended when no
-   * connection is left. */
+   * request; they are closed when they have been idle for a moment. The
+   * traffic has ended when no connection is left. */
   void StopAccepting();
   void UpdateLoad(const net::TcpAddress& aEndpoint,
                   int aRequests,
@@ -56,7 +55,6 @@
   net::HttpServerConnection::Handlers HandlersFor(uint64_t aId);
   void BeginRequest(uint64_t aId, net::ServerRequest aRequest);
   void RemoveCaller(uint64_t aId);
-  void CloseIdleConnections();
   /** Notes an answer that the caller does not get whole, although its request
    * has ended. */
   static void LogUndelivered(const Caller& aCaller, size_t aBytes);
@@ -69,8 +67,6 @@
   TrafficContext mContext;
   OpenTraffic& mOpen;
   net::TcpListener mListener;
-  /** Runs once connections are accepted no more. */
-  QTimer mIdleTimer;
   std::map<uint64_t, Caller> mCallers;
   uint64_t mLastId = 0;
   /** Bytes reserved for the request bodies of all callers. */
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -9,10 +9,18 @@
 {
   /** When the process was told to stop. */
   global::TimePoint mBegin{};
-  /** Until then new connections and all their requests are accepted. */
+  /** Until then connections are accepted, and all requests. */
   global::TimePoint mAcceptDeadline{};
   /** When the grace time ends; requests that are open then are cut off. */
   global::TimePoint mEnd{};
+
+  /** Whether a request that ends by its deadline can be taken without the risk
+   * that the end of the grace time cuts it off. Early in the stop all are
+   * taken, since callers do not know of it yet. */
+  bool MayTake(global::TimePoint aArrival, global::TimePoint aDeadline) const
+  {
+    return aArrival < mAcceptDeadline || aDeadline <= mEnd;
+  }
 };
 
 }
