--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -22,14 +22,6 @@
 constexpr milliseconds kStoreTakeoverDelay{ 700 };
 /** Addresses per directory response; callers accept no more. */
 constexpr size_t kMaxAddresses = 64;
-/** Time past the directory's time to live during which callers with a cached
- * response still send requests to a gateway that is shutting down. */
-constexpr milliseconds kCachedAddressMargin{ 700 };
-/** Fraction of the grace time after which no more requests are accepted, so
- * that the last ones can be completed. */
-constexpr double kAcceptGraceFraction = 0.4;
-/** Part of the grace time that is reserved for stopping the process. */
-constexpr milliseconds kStopReserve{ 300 };
 /** Least number of gateways assumed to share a limit. */
 constexpr int kMinGatewayCount = 8;
 /** Least number of gateways assumed while not all of them are known. */
@@ -143,14 +135,13 @@
 GatewayNode::BeginDraining()
 {
   const auto now = mClock.Now();
-  const auto maxAcceptTime = duration_cast<milliseconds>(
-    mSite.mTerminationGracePeriod * kAcceptGraceFraction);
-  const auto acceptTime = std::min<milliseconds>(
-    mSite.mTimeToLive + kCachedAddressMargin, maxAcceptTime);
-  const auto stopTime = mSite.mTerminationGracePeriod - kStopReserve;
-  mStop = { now, now + acceptTime, now + stopTime };
+  mStop = PlanStop(now, mSite.mTerminationGracePeriod, mSite.mTimeToLive);
+  const auto untilMilliseconds = [now](global::TimePoint aTime) {
+    return duration_cast<milliseconds>(aTime - now).count();
+  };
   LOGI("The gateway is told to stop. acceptMilliseconds="
-       << acceptTime.count() << " stopMilliseconds=" << stopTime.count()
+       << untilMilliseconds(mStop->mAcceptDeadline)
+       << " stopMilliseconds=" << untilMilliseconds(mStop->mEnd)
        << " openRequests=" << mTraffic.OpenRequests()
        << " openConnections=" << mTraffic.OpenConnections());
   UpdateServing();
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -23,4 +23,12 @@
   }
 };
 
+/** The times of a stop that begins at aNow and must have ended after
+ * aGraceTime. aTimeToLive is how long callers use an address that they have
+ * asked for. */
+StopSchedule
+PlanStop(global::TimePoint aNow,
+         std::chrono::milliseconds aGraceTime,
+         std::chrono::milliseconds aTimeToLive);
+
 }
