End a change of the expert map before its agent exits

Callers would see: a pause of all streams of a group, in the worst case until another agent may lead, when the agent that leads it is stopped in the middle of a change: it exits 0.5 s after the SIGTERM, a pass is held or ranks are armed in part, and another agent has to clear that.

An agent that is told to stop leads no more and begins no change; it exits when the change that it carries out is over, or after 3 s with a line in the log. The test failed with the stop ignored (the leader went on giving orders).

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -164,8 +164,8 @@
 void
 GroupLeader::Tick()
 {
-  if (mSampler.IsReading() || mRunner.IsRunning() || !IsLeader() || !mEngine ||
-      mEngine->mExpertLayers == 0) {
+  if (mIsStopping || mSampler.IsReading() || mRunner.IsRunning() ||
+      !IsLeader() || !mEngine || mEngine->mExpertLayers == 0) {
     return;
   }
   // Counts are not read more often while ranks prepare a map.
@@ -181,6 +181,9 @@
 void
 GroupLeader::FinishRound()
 {
+  if (mIsStopping) {
+    return;
+  }
   if (mPreparingVersion != 0 &&
       mSampler.HasGroupChanged(mLocalRank->mGroup, mPreparingEpoch)) {
     AbandonMap("the group has changed");
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -33,10 +33,14 @@
 
   void Start();
   void Stop();
+  /** Begins no further change; one that has begun goes on. */
+  void BeginStop() { mIsStopping = true; }
+  /** Whether no change is being carried out. */
+  bool IsIdle() const { return !mRunner.IsRunning(); }
   /** Whether this process may start new changes, rather than only clear old
    * ones.
    */
-  bool MayLead() const { return mMayLead; }
+  bool MayLead() const { return mMayLead && !mIsStopping; }
   /** Whether the group has requests but has started no pass for the given time.
    */
   bool IsStalledFor(milliseconds aTime) const;
@@ -97,6 +101,7 @@
   /** Distinguishes this run of the process from earlier ones. */
   const uint64_t mIncarnation;
   bool mMayLead = false;
+  bool mIsStopping = false;
   global::TimePoint mEligibleSince{};
   std::optional<published::EngineProfile> mEngine;
   QTimer mTimer;
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -19,6 +19,9 @@
  * s.
  */
 constexpr milliseconds kStallTimeout{ 1200 };
+/** Longest time that a stop waits for a change of the map. Longer than a change
+ * takes, unless ranks do not answer; well within the grace time. */
+constexpr milliseconds kMaxStopTime{ 3000 };
 
 mesh::Member
 SelfMember(const configuration::IProcessSettings& aSettings)
@@ -37,7 +40,8 @@
                    std::shared_ptr<published::IRecordCodec> aRecords,
                    std::shared_ptr<IEngineCodec> aCodec,
                    metrics::Metrics& aMetrics)
-  : mEndpointAddress(aSettings.Site().mEndpointAddress)
+  : mClock(aClock)
+  , mEndpointAddress(aSettings.Site().mEndpointAddress)
   , mRecordCodec(std::move(aRecords))
   , mEngineCodec(std::move(aCodec))
   , mPublishedState(*mRecordCodec, aClock)
@@ -66,6 +70,27 @@
   mLeader.Start();
 }
 
+void
+RankNode::BeginStop()
+{
+  mStopDeadline = mClock.Now() + kMaxStopTime;
+  mLeader.BeginStop();
+  LOGI("The agent is told to stop. changesMap=" << !mLeader.IsIdle());
+}
+
+bool
+RankNode::IsIdle() const
+{
+  if (mLeader.IsIdle()) {
+    return true;
+  }
+  if (mClock.Now() < mStopDeadline) {
+    return false;
+  }
+  LOGW("The agent stops in the middle of a change of the map.");
+  return true;
+}
+
 void
 RankNode::Stop()
 {
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -32,6 +32,10 @@
 
   std::vector<std::shared_ptr<grpc::Service>> Services() const;
   void Start();
+  /** Leads no more. A change of the map that has begun is carried out. */
+  void BeginStop();
+  /** Whether a process that is told to stop may exit. */
+  bool IsIdle() const;
   void Stop();
   void Reload(const configuration::IProcessSettings& aSettings);
   settings::Json Status() const;
@@ -81,6 +85,7 @@
   void UpdatePeers();
 
   QObject mContext;
+  const global::IClock& mClock;
   const std::string mEndpointAddress;
   std::shared_ptr<published::IRecordCodec> mRecordCodec;
   std::shared_ptr<IEngineCodec> mEngineCodec;
@@ -101,6 +106,8 @@
   uint64_t mPlacementEpoch = 0;
   bool mIsPlacementKnown = false;
   bool mIsReading = false;
+  /** Set when the process is told to stop. */
+  global::TimePoint mStopDeadline{};
   QTimer mTimer;
 };
 
--- a/src/rankagent/rankagentmodule.cpp
+++ b/src/rankagent/rankagentmodule.cpp
@@ -40,6 +40,8 @@
   {
     mNode->Reload(aSettings);
   }
+  void BeginStop() override { mNode->BeginStop(); }
+  bool IsIdle() const override { return mNode->IsIdle(); }
   void Stop() override { mNode->Stop(); }
 
 private:
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -49,6 +49,11 @@
   }
   int Orders() const { return mOrders; }
   int PrepareOrders() const { return mPrepareOrders; }
+  /** Calls a function at the next order. */
+  void SetOnOrder(std::function<void()> aOnOrder)
+  {
+    mOnOrder = std::move(aOnOrder);
+  }
   /** Orders to prepare are not answered from now on, and another leader
    * prepares a version above the first one. */
   void DelayPrepareOrders() { mDelaysPrepareOrders = true; }
@@ -75,6 +80,9 @@
              OnOutcome aOnOutcome) override
   {
     ++mOrders;
+    if (const auto onOrder = std::exchange(mOnOrder, nullptr)) {
+      onOrder();
+    }
     const bool isPrepare = aOrder.mOperation == RankOperation::Prepare;
     mPrepareOrders += isPrepare ? 1 : 0;
     if (isPrepare && mDelaysPrepareOrders) {
@@ -125,6 +133,7 @@
   }
 
   std::vector<RankState> mRanks;
+  std::function<void()> mOnOrder;
   int mOrders = 0;
   int mPrepareOrders = 0;
   bool mDelaysPrepareOrders = false;
@@ -243,6 +252,34 @@
   LONGS_EQUAL(0, mGroup.Orders());
 }
 
+/** Guards against groups that stand because their leader begins a change
+ * shortly before its process exits. */
+TEST(GroupLeader, AStoppedLeaderEndsItsChangeAndBeginsNoOther)
+{
+  // Arrange: no order to prepare is answered, so changes are begun again and
+  // again.
+  constexpr milliseconds kObservation{ 1000 };
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mGroup.Rank(0).mHeldStep = mGroup.Step() + 2;
+  mGroup.DelayPrepareOrders();
+  bool wasIdle = true;
+
+  // Act
+  mGroup.SetOnOrder([&] {
+    wasIdle = mLeader.IsIdle();
+    mLeader.BeginStop();
+  });
+
+  // Assert
+  CHECK(ProcessEventsUntil([&] { return !mLeader.MayLead(); }));
+  CHECK_FALSE(wasIdle);
+  CHECK(ProcessEventsUntil([&] { return mLeader.IsIdle(); }));
+  const int orders = mGroup.Orders();
+  const QDeadlineTimer end(kObservation);
+  ProcessEventsUntil([&] { return end.hasExpired(); });
+  LONGS_EQUAL(orders, mGroup.Orders());
+}
+
 TEST(GroupLeader, GivesTheVersionOfAFailedChangeToNoOther)
 {
   // Arrange: another leader leaves a hold and no order to prepare is answered.
