Ask whether a request may outlast a stop when it is whole

Callers would see: a request whose head came before the SIGTERM and whose body was whole seconds later is sent to an endpoint and cut when the grace time ends (LOST). Read in the code by a reviewer.

Cause: the question was asked with the arrival of the head. It is asked with the time at which the request would be sent.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -111,7 +111,7 @@
   }
   SetDeadlines();
   if (mContext.mStop &&
-      !mContext.mStop->MayTake(mRequest.mArrival, mDeadline)) {
+      !mContext.mStop->MayTake(mContext.mClock.Now(), mDeadline)) {
     RefuseForStop();
     return;
   }
