End the callers' traffic at the end of the grace time, before the rest

Callers would see: no answer and operators no line for requests that were open, if the process is killed before it gets to them. Read in the code by a reviewer.

Cause: when the grace time ended, the process first stopped the server of its peers, for up to 200 ms of the 300 that were left, then the traffic. A timer of the gateway ends the traffic now, at that time; the process exits when it has ended. IsDrained() has no side effect any more.

No test of its own: the modules' tests have no gateway node. The soak counts processes that are killed at the end of the grace time.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -69,6 +69,10 @@
     transport::Post(&mMesh, [this, aNotices] { AnnounceParts(aNotices); });
   });
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Tick(); });
+  mStopTimer.setSingleShot(true);
+  mStopTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(
+    &mStopTimer, &QTimer::timeout, &mStopTimer, [this] { EndTraffic(); });
 }
 
 std::shared_ptr<grpc::Service>
@@ -147,27 +151,34 @@
   UpdateServing();
   mMesh.Announce();
   mTraffic.BeginDraining(*mStop);
+  mStopTimer.start(duration_cast<milliseconds>(mStop->mEnd - now));
 }
 
 bool
 GatewayNode::IsDrained() const
+{
+  return mTraffic.HasEnded();
+}
+
+void
+GatewayNode::EndTraffic()
 {
   if (mTraffic.HasEnded()) {
-    return true;
-  }
-  if (mClock.Now() < mStop->mEnd) {
-    return false;
+    return;
   }
   LOGW("The grace time ends before the callers' traffic. openRequests="
        << mTraffic.OpenRequests()
        << " openConnections=" << mTraffic.OpenConnections());
-  return true;
+  // Before the peers' server, whose end takes a while: callers are answered
+  // before the process may be killed.
+  mTraffic.Stop();
 }
 
 void
 GatewayNode::Stop()
 {
   mTimer.stop();
+  mStopTimer.stop();
   mDependencies.mSource->Stop();
   mMesh.Stop();
   mTraffic.Stop();
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -41,8 +41,8 @@
   /** Announces that this gateway is shutting down. It accepts requests until
    * the cached directory responses expire, then completes those in progress. */
   void BeginDraining();
-  /** Whether a gateway that is shutting down may exit: it has no more requests,
-   * or its grace time is over. */
+  /** Whether a gateway that is shutting down may exit: its traffic has ended.
+   */
   bool IsDrained() const;
   void Stop();
   settings::Json Status() const;
@@ -84,6 +84,8 @@
    * zone. */
   void UpdateStoreAccess();
   void Tick();
+  /** Ends what is open, because the grace time does. */
+  void EndTraffic();
 
   const global::IClock& mClock;
   metrics::Metrics& mMetrics;
@@ -100,6 +102,8 @@
   PageServer mReadiness;
   PageServer mDirectory;
   QTimer mTimer;
+  /** Runs until the grace time of a stop ends. */
+  QTimer mStopTimer;
   bool mIsReadingStore = false;
   bool mIsStoreReachable = false;
   global::TimePoint mStoreUnreachableSince{};
