Hand ready answers to the kernel when the grace time ends

Callers would see: an answer that its endpoint has handed over whole ends in the middle, because they read slowly and the grace time of a stop ends (LOST: the endpoint is not at work any more). An HTTP/1.0 caller would have taken it for whole: the connection was closed in order. Read in the code by a reviewer.

Cause: what the connection had not written yet was dropped. The kernel is given room for it now, and delivers it after the process has gone; it takes some 400 kB with Linux's usual limit. What it does not take is broken off. The traffic's counters are set at its end, so that it has ended then.

Still lost: answers that the gateway has not read from the endpoint, because their caller is behind.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -85,6 +85,10 @@
   /** Closes in order a connection that has no request, once its last answer is
    * written. */
   void Close();
+  /** Ends the connection at once. The kernel still delivers what it can take of
+   * the last answer; if that is not all, the connection is broken off, so that
+   * the answer does not look whole. Returns the bytes that are lost. */
+  size_t EndNow();
   /** Once the connection has ended: bytes of the answer that did not reach the
    * peer's side. */
   size_t Undelivered() const { return mSocket->Undelivered(); }
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -336,6 +336,20 @@
   HandleClosed();
 }
 
+size_t
+HttpServerConnection::EndNow()
+{
+  if (!mSocket->IsOpen()) {
+    return 0;
+  }
+  const size_t lost = mSocket->HandOver();
+  if (lost > 0) {
+    mSocket->Abort();
+  }
+  mSocket->Close();
+  return lost;
+}
+
 void
 HttpServerConnection::Close()
 {
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -217,6 +217,19 @@
   Close();
 }
 
+size_t
+TcpSocket::HandOver()
+{
+  if (IsOpen() && mIsConnected && Pending() > 0 && !mHasFailedWrite) {
+    SetOption<int>(mDescriptor,
+                   SOL_SOCKET,
+                   SO_SNDBUF,
+                   static_cast<int>(Unacknowledged() + Pending()));
+    Flush();
+  }
+  return Pending();
+}
+
 void
 TcpSocket::Close()
 {
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -78,6 +78,10 @@
   /** Ends the connection at once; with a reset, so that the peer cannot take
    * a cut answer for whole. No handler is called any more. */
   void Abort();
+  /** Lets the kernel take all that is to be written, as far as it can, to be
+   * delivered after the end of this process. Returns the bytes that are left.
+   */
+  size_t HandOver();
   /** Closes at once in order. No handler is called any more. */
   void Close();
   bool IsOpen() const { return mDescriptor >= 0; }
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -27,10 +27,13 @@
   for (const auto& [id, caller] : callers) {
     if (const auto exchange = caller.mExchange) {
       exchange->HandleStop();
-    } else if (caller.mConnection->Pending() > 0) {
-      LogUndelivered(caller, caller.mConnection->Pending());
+    }
+    if (const size_t n = caller.mConnection->EndNow(); n > 0) {
+      LogUndelivered(caller, n);
     }
   }
+  mOpen.mIsAccepting = false;
+  mOpen.mConnections = 0;
 }
 
 bool
