Refuse requests for a stop only once no connection is accepted

Callers saw: up to 0.1 s long, a stopping gateway accepted a connection and refused its request with 503 and Retry-After 0; those that came back at once met the same gateway again (285 refusals in 60 ms with callers that have no other).

Cause: the request was judged by the clock, the listener closed at a later tick of another thread.

The traffic thread closes the listener by its own timer, at the time that the schedule states, and a request is judged by whether it has done so.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -111,7 +111,7 @@
   }
   SetDeadlines();
   if (mContext.mStop &&
-      !mContext.mStop->MayTake(mContext.mClock.Now(), mDeadline)) {
+      !mContext.mStop->MayTake(mContext.mIsAccepting, mDeadline)) {
     RefuseForStop();
     return;
   }
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -418,11 +418,6 @@
   if (mState.ExpireRemovals()) {
     UpdateSnapshot("expiry");
   }
-  if (mStop && !mHasStoppedAccepting &&
-      mClock.Now() >= mStop->mAcceptDeadline) {
-    mTraffic.StopAccepting();
-    mHasStoppedAccepting = true;
-  }
 }
 
 }
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -39,7 +39,8 @@
   void Start();
   void Reload(const configuration::IProcessSettings& aSettings);
   /** Announces that this gateway is shutting down. It accepts requests until
-   * the cached directory responses expire, then completes those in progress. */
+   * the cached directory responses expire, then those that end in time for
+   * sure. */
   void BeginDraining();
   /** Whether a gateway that is shutting down may exit: its traffic has ended.
    */
@@ -115,7 +116,6 @@
   /** Set once the gateway is told to stop. */
   std::optional<StopSchedule> mStop;
   bool mKnowsAllGateways = false;
-  bool mHasStoppedAccepting = false;
 };
 
 }
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+using std::chrono::duration_cast;
+
 constexpr char kLogTag[] = "traffic";
 
 }
@@ -18,6 +20,11 @@
   : mContext(aClock, aCodec, aMetrics, aAvailabilityZone)
   , mOpen(aOpen)
 {
+  mAcceptTimer.setSingleShot(true);
+  mAcceptTimer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&mAcceptTimer, &QTimer::timeout, &mAcceptTimer, [this] {
+    StopAccepting();
+  });
 }
 
 TrafficCore::~TrafficCore()
@@ -162,6 +169,9 @@
 TrafficCore::BeginDraining(const StopSchedule& aSchedule)
 {
   mContext.mStop = aSchedule;
+  const auto acceptTime = duration_cast<milliseconds>(
+    aSchedule.mAcceptDeadline - mContext.mClock.Now());
+  mAcceptTimer.start(std::max(milliseconds(0), acceptTime));
 }
 
 void
@@ -170,6 +180,7 @@
   mListener.AcceptPending();
   mListener.Close();
   mOpen.mIsAccepting = false;
+  mContext.mIsAccepting = false;
   for (const auto& [id, caller] : mCallers) {
     caller.mConnection->AnnounceClose();
   }
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -3,6 +3,7 @@
 #include "framework/net/httpserverconnection.h"
 #include "gateway/internal/exchange.h"
 
+#include <QTimer>
 #include <atomic>
 #include <map>
 
@@ -29,11 +30,9 @@
   ~TrafficCore();
 
   bool Listen(const net::TcpAddress& aAddress);
+  /** Adds "Connection: close" to answers that begin from now on, and stops
+   * accepting at the time that the schedule states. */
   void BeginDraining(const StopSchedule& aSchedule);
-  /** Closes the listener. Connections that have been accepted may still bring a
-   * request; they are closed when they have been idle for a moment. The
-   * traffic has ended when no connection is left. */
-  void StopAccepting();
   void UpdateLoad(const net::TcpAddress& aEndpoint,
                   int aRequests,
                   bool aIsOpen,
@@ -51,6 +50,10 @@
     std::string mLastRequest;
   };
 
+  /** Closes the listener. Connections that have been accepted may still bring a
+   * request; they are closed when they have been idle for a moment. The
+   * traffic has ended when no connection is left. */
+  void StopAccepting();
   void Accept(std::shared_ptr<net::TcpSocket> aSocket);
   net::HttpServerConnection::Handlers HandlersFor(uint64_t aId);
   void BeginRequest(uint64_t aId, net::ServerRequest aRequest);
@@ -67,6 +70,8 @@
   TrafficContext mContext;
   OpenTraffic& mOpen;
   net::TcpListener mListener;
+  /** Runs until no more connections are accepted. */
+  QTimer mAcceptTimer;
   std::map<uint64_t, Caller> mCallers;
   uint64_t mLastId = 0;
   /** Bytes reserved for the request bodies of all callers. */
--- a/src/gateway/internal/trafficserver.cpp
+++ b/src/gateway/internal/trafficserver.cpp
@@ -87,12 +87,6 @@
   });
 }
 
-void
-TrafficServer::StopAccepting()
-{
-  transport::Post(&mContext, [this] { mCore->StopAccepting(); });
-}
-
 void
 TrafficServer::BeginDraining(const StopSchedule& aSchedule)
 {
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -14,12 +14,12 @@
   /** When the grace time ends; requests that are open then are cut off. */
   global::TimePoint mEnd{};
 
-  /** Whether a request that is whole now, and ends by its deadline at the
-   * latest, is taken. Early in the stop all are, since callers do not know of
-   * it yet; later only those that the end of the grace time cannot cut off. */
-  bool MayTake(global::TimePoint aNow, global::TimePoint aDeadline) const
+  /** Whether a request that ends by its deadline at the latest is taken. While
+   * connections are accepted all are, since callers do not know of the stop
+   * yet; later only those that the end of the grace time cannot cut off. */
+  bool MayTake(bool aIsAccepting, global::TimePoint aDeadline) const
   {
-    return aNow < mAcceptDeadline || aDeadline <= mEnd;
+    return aIsAccepting || aDeadline <= mEnd;
   }
 };
 
--- a/src/gateway/trafficserver.h
+++ b/src/gateway/trafficserver.h
@@ -54,10 +54,9 @@
   }
   /** Takes what other gateways tell about parts of prompts. */
   void ApplyPartNotices(const quarantine::Notices& aNotices);
-  /** Adds "Connection: close" to responses that begin from now on. */
+  /** Adds "Connection: close" to responses that begin from now on, and stops
+   * accepting at the time that the schedule states. */
   void BeginDraining(const StopSchedule& aSchedule);
-  /** Accepts no more requests; requests in progress are completed. */
-  void StopAccepting();
   /** Number of requests whose response is not complete. */
   int OpenRequests() const;
   /** Number of connections of callers. */
