Hand ready answers over before their connection's buffer is set

A buffer that Linux has grown by itself shrinks when its size is set: seen by a reviewer on a scratch socket, 4,194,304 to 425,984 bytes, and none of 300,000 bytes taken. What fits is written first now, and the size is set only for what is left. What is lost is counted as in the other lines of the log, with what the kernel drops, and a write that fails counts too. A request that has arrived behind an answer is not begun while the traffic ends.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -85,9 +85,9 @@
   /** Closes in order a connection that has no request, once its last answer is
    * written. */
   void Close();
-  /** Ends the connection at once. The kernel still delivers what it can take of
-   * the last answer; if that is not all, the connection is broken off, so that
-   * the answer does not look whole. Returns the bytes that are lost. */
+  /** Ends the connection at once. If the kernel can take the rest of the last
+   * answer, it still delivers that; if not, the connection is broken off, so
+   * that the answer does not look whole. Returns the bytes that are lost. */
   size_t EndNow();
   /** Once the connection has ended: bytes of the answer that did not reach the
    * peer's side. */
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -342,12 +342,12 @@
   if (!mSocket->IsOpen()) {
     return 0;
   }
-  const size_t lost = mSocket->HandOver();
-  if (lost > 0) {
+  if (mSocket->HandOver() > 0) {
     mSocket->Abort();
+    return mSocket->Undelivered();
   }
   mSocket->Close();
-  return lost;
+  return 0;
 }
 
 void
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -220,14 +220,16 @@
 size_t
 TcpSocket::HandOver()
 {
-  if (IsOpen() && mIsConnected && Pending() > 0 && !mHasFailedWrite) {
+  Flush();
+  if (Pending() > 0) {
+    // After the flush, since this may also shrink the buffer.
     SetOption<int>(mDescriptor,
                    SOL_SOCKET,
                    SO_SNDBUF,
                    static_cast<int>(Unacknowledged() + Pending()));
     Flush();
   }
-  return Pending();
+  return mHasFailedWrite ? mUndelivered : Pending();
 }
 
 void
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -32,6 +32,8 @@
   mListener.Close();
   const auto callers = std::exchange(mCallers, {});
   for (const auto& [id, caller] : callers) {
+    // So that an answer begins no further request that has arrived.
+    caller.mConnection->AnnounceClose();
     if (const auto exchange = caller.mExchange) {
       exchange->HandleStop();
     }
