Take no long request on a listener that is closed late

Callers would see: at a machine that is short of processor time, a stream that was sent over 3 s after the SIGTERM is taken, as the timer that closes the listener is late, and cut at the end of the grace time.

The new test fails without it (by its rule: an open listener took all). Beside it: the timer of the end of a stop is not started with a negative time.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -110,8 +110,9 @@
     return;
   }
   SetDeadlines();
-  if (mContext.mStop &&
-      !mContext.mStop->MayTake(mContext.mIsAccepting, mDeadline)) {
+  if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
+                                                 mContext.mClock.Now(),
+                                                 mDeadline)) {
     RefuseForStop();
     return;
   }
--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -151,7 +151,8 @@
   UpdateServing();
   mMesh.Announce();
   mTraffic.BeginDraining(*mStop);
-  mStopTimer.start(duration_cast<milliseconds>(mStop->mEnd - now));
+  mStopTimer.start(
+    std::max(milliseconds(0), duration_cast<milliseconds>(mStop->mEnd - now)));
 }
 
 bool
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -49,6 +49,7 @@
   std::mt19937_64 mRandom;
   /** Set once the process is told to stop. */
   std::optional<StopSchedule> mStop;
+  /** Whether connections are accepted. */
   bool mIsAccepting = true;
 
 private:
--- a/src/gateway/tests/stopscheduletest.cpp
+++ b/src/gateway/tests/stopscheduletest.cpp
@@ -40,7 +40,20 @@
 {
   const StopSchedule schedule = PlanStop(mNow, kGraceTime, milliseconds(2000));
 
-  CHECK(schedule.MayTake(true, schedule.mEnd + milliseconds(10000)));
-  CHECK(schedule.MayTake(false, schedule.mEnd));
-  CHECK_FALSE(schedule.MayTake(false, schedule.mEnd + milliseconds(1)));
+  const auto late = schedule.mEnd + milliseconds(1);
+  const auto accept = schedule.mAcceptDeadline;
+
+  CHECK(schedule.MayTake(true, accept, late));
+  CHECK(schedule.MayTake(false, accept, schedule.mEnd));
+  CHECK_FALSE(schedule.MayTake(false, accept, late));
+}
+
+/** Guards against requests that a process short of processor time takes, as it
+ * has not come to close its listener. */
+TEST(StopSchedule, AListenerThatIsClosedLateBringsNoLongRequest)
+{
+  const StopSchedule schedule = PlanStop(mNow, kGraceTime, milliseconds(2000));
+
+  CHECK_FALSE(schedule.MayTake(
+    true, mNow + kMaxExcused, schedule.mEnd + milliseconds(1)));
 }
