Write the last lines of the log within a bounded time

Operators found no line of requests that a stopping gateway had cut, nor its warning, and the process was killed at the end of the grace time. Cause: at its end the process waited without limit for the thread that writes the log; that one waits in write() while the pipe is full, as its reader is behind. A pipe that does not block lost the lines of the last moment instead. Both tests fail with the old end: the one does not close within 1 s, the other misses its last line.

--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "framework/log/logtypes.h"
+
 #include <log4cplus/loggingmacros.h>
 #include <string>
 
@@ -22,8 +24,12 @@
 void
 Start(const std::string& aProcess, const std::string& aLevel);
 
-/** Writes what is pending and stops logging. */
+/** Writes what is pending, as far as its reader takes it, and stops logging. */
 void
 Stop();
 
+/** Counts of the log that was started; none if there is none. */
+LineCounts
+Counts();
+
 }
--- a/src/framework/log/tests/boundedappendertest.cpp
+++ b/src/framework/log/tests/boundedappendertest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <fcntl.h>
 #include <log4cplus/initializer.h>
@@ -37,6 +38,13 @@
     close(mPipe[0]);
     return text;
   }
+
+  /** Returns the number of bytes read; -1 if there are none now. */
+  ssize_t ReadSome() const
+  {
+    std::array<char, 4096> buf;
+    return read(mPipe[0], buf.data(), buf.size());
+  }
 };
 
 TEST(BoundedAppender, WritesLinesInTheirOrder)
@@ -119,3 +127,78 @@
   CHECK(dropped > 0);
   LONGS_EQUAL(kLines + 1, whole + dropped);
 }
+
+/** Guards against a stopped process that stays until it is killed because
+ * nobody reads its log. */
+TEST(BoundedAppender, AReaderThatNeverReadsDoesNotKeepTheProcessFromEnding)
+{
+  constexpr int kLines = 200;
+  log4cplus::helpers::SharedObjectPtr<log::BoundedAppender> appender(
+    new log::BoundedAppender(mPipe[1]));
+  Logger().addAppender(log4cplus::SharedAppenderPtr(appender.get()));
+  // More than the pipe holds.
+  for (int i = 0; i < kLines; ++i) {
+    LOG4CPLUS_INFO(Logger(), std::string(1000, 'x'));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  LONGS_EQUAL(kLines, appender->Counts().mWaiting);
+  Logger().removeAllAppenders();
+  const auto began = std::chrono::steady_clock::now();
+  std::atomic<bool> hasClosed = false;
+
+  std::thread closer([&] {
+    appender->close();
+    hasClosed = true;
+  });
+  while (!hasClosed &&
+         std::chrono::steady_clock::now() - began < std::chrono::seconds(1)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+
+  const bool hasClosedInTime = hasClosed;
+  fcntl(mPipe[0], F_SETFL, O_NONBLOCK);
+  while (!hasClosed) {
+    ReadSome();
+  }
+  closer.join();
+  // Lets the writing thread end.
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  while (std::chrono::steady_clock::now() < end && ReadSome() != 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  close(mPipe[1]);
+  close(mPipe[0]);
+  CHECK(hasClosedInTime);
+}
+
+/** Guards against last lines that are lost because the reader is behind when
+ * the process ends. */
+TEST(BoundedAppender, TheLastLinesReachAReaderThatIsBehind)
+{
+  constexpr int kLines = 500;
+  fcntl(mPipe[1], F_SETFL, O_NONBLOCK);
+  log4cplus::helpers::SharedObjectPtr<log::BoundedAppender> appender(
+    new log::BoundedAppender(mPipe[1]));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  Logger().addAppender(log4cplus::SharedAppenderPtr(appender.get()));
+  std::string text;
+
+  for (int i = 0; i < kLines; ++i) {
+    LOG4CPLUS_INFO(Logger(), std::string(1000, 'x'));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(appender->Counts().mDropped > 0);
+  LONGS_EQUAL(0, appender->Counts().mWaiting);
+  LOG4CPLUS_INFO(Logger(), "the last line");
+  std::thread reader([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    text = ReadAll();
+  });
+  Logger().removeAllAppenders();
+  appender->close();
+  close(mPipe[1]);
+  reader.join();
+
+  CHECK(text.find("Lines were dropped.") != std::string::npos);
+  CHECK(text.ends_with("the last line\n"));
+}
