--- a/src/app/internal/coremodule.cpp
+++ b/src/app/internal/coremodule.cpp
@@ -1,5 +1,6 @@
 #include "configuration/processsettings.h"
 #include "framework/kernel/kernel.h"
+#include "framework/log/log.h"
 #include "framework/metrics/metrics.h"
 #include "framework/tracing/tracer.h"
 #include "operations/operatorpages.h"
@@ -56,6 +57,11 @@
                                { "availabilityZone",
                                  settings->AvailabilityZone() } };
       });
+    aKernel.Get<operations::IOperatorPages>()->AddStatusSection("log", [] {
+      const log::LineCounts counts = log::Counts();
+      return settings::Json{ { "waitingLines", counts.mWaiting },
+                             { "droppedLines", counts.mDropped } };
+    });
   }
 
   void Stop() override { mExporter->Flush(); }
