Refuse what usually outlasts a stop while connections are accepted

Cause: while connections are accepted every request was taken, whatever was left of the grace time. The class is that of: a process that stops takes work that it may not be able to end. A request whose deadline lies beyond the end is taken early in a stop only if all but one in twenty of the route's latest answers took no longer than what is left. Else it gets 503, not run, to come back at once elsewhere. A route with fewer than 20 answers is taken as before; what comes late is judged by its deadline alone, as before.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -110,9 +110,7 @@
     return;
   }
   SetDeadlines();
-  if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
-                                                 mContext.mClock.Now(),
-                                                 mDeadline)) {
+  if (!MayEndBeforeStop()) {
     RefuseForStop();
     return;
   }
@@ -139,6 +137,17 @@
   return true;
 }
 
+bool
+Exchange::MayEndBeforeStop() const
+{
+  return !mContext.mStop ||
+         mContext.mStop->MayTake(
+           mContext.mIsAccepting,
+           mContext.mClock.Now(),
+           mDeadline,
+           mContext.mDurations.UsualLongest(mAdmission.mRoute->mName));
+}
+
 void
 Exchange::RefuseForStop()
 {
@@ -511,6 +520,7 @@
   }
   if (status / 100 == 2) {
     mContext.mPromptGuard.RecordSound(mMetadata);
+    mContext.mDurations.Record(mAdmission.mRoute->mName, Elapsed());
   }
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
@@ -680,6 +690,7 @@
     return;
   }
   if (mResponse.HasBegun()) {
+    mContext.mDurations.Record(mAdmission.mRoute->mName, Elapsed());
     AbortResponse("deadline passed during the response");
     return;
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,6 +57,9 @@
    * responds with the reason and returns false. */
   bool TryAdmit();
   void SetDeadlines();
+  /** Whether the request is expected to end before the process does, if that
+   * is told to stop. */
+  bool MayEndBeforeStop() const;
   /** Refuses a request that may not be complete before the process ends. */
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/metrics/metrics.h"
+#include "gateway/answerdurations.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
 #include "gateway/internal/promptguard.h"
@@ -46,6 +47,7 @@
   EndpointBalancer mBalancer;
   EndpointConnections mConnections;
   PromptGuard mPromptGuard;
+  AnswerDurations mDurations;
   std::mt19937_64 mRandom;
   /** Set once the process is told to stop. */
   std::optional<StopSchedule> mStop;
