Count open requests when judging what outlasts a stop

A gateway that has just started knows only of streams that have ended, which are the short ones, and took long ones early in its next stop. The last line of a request tells what was believed of its route.

--- a/src/gateway/internal/answerdurations.cpp
+++ b/src/gateway/internal/answerdurations.cpp
@@ -6,32 +6,59 @@
 
 namespace {
 
-/** One in so many answers may take longer than the usual longest. */
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** One in so many requests may take longer than the usual longest. */
 constexpr size_t kLongerPeriod = 20;
 
 }
 
 void
-AnswerDurations::Record(const std::string& aRoute,
-                        std::chrono::milliseconds aDuration)
+AnswerDurations::Begin(const std::string& aRoute, global::TimePoint aArrival)
 {
-  Latest& latest = mRoutes[aRoute];
-  if (latest.mDurations.size() < kMaxAnswers) {
-    latest.mDurations.push_back(aDuration);
+  mRoutes[aRoute].mOpen.insert(aArrival);
+}
+
+void
+AnswerDurations::End(const std::string& aRoute,
+                     global::TimePoint aArrival,
+                     std::optional<milliseconds> aDuration)
+{
+  const auto it = mRoutes.find(aRoute);
+  if (it == mRoutes.end()) {
+    return;
+  }
+  Route& route = it->second;
+  if (const auto open = route.mOpen.find(aArrival); open != route.mOpen.end()) {
+    route.mOpen.erase(open);
+  }
+  if (!aDuration) {
+    return;
+  }
+  if (route.mLatest.size() < kMaxAnswers) {
+    route.mLatest.push_back(*aDuration);
     return;
   }
-  latest.mDurations[latest.mNext] = aDuration;
-  latest.mNext = (latest.mNext + 1) % kMaxAnswers;
+  route.mLatest[route.mNext] = *aDuration;
+  route.mNext = (route.mNext + 1) % kMaxAnswers;
 }
 
-std::optional<std::chrono::milliseconds>
-AnswerDurations::UsualLongest(const std::string& aRoute) const
+std::optional<milliseconds>
+AnswerDurations::UsualLongest(const std::string& aRoute,
+                              global::TimePoint aNow) const
 {
   const auto it = mRoutes.find(aRoute);
-  if (it == mRoutes.end() || it->second.mDurations.size() < kMinAnswers) {
+  if (it == mRoutes.end()) {
+    return std::nullopt;
+  }
+  std::vector<milliseconds> durations = it->second.mLatest;
+  for (const global::TimePoint arrival : it->second.mOpen) {
+    durations.push_back(duration_cast<milliseconds>(aNow - arrival));
+  }
+  if (durations.size() < kMinRequests) {
     return std::nullopt;
   }
-  auto durations = it->second.mDurations;
   const auto longer = durations.size() / kLongerPeriod;
   const auto usual = durations.end() - 1 - static_cast<std::ptrdiff_t>(longer);
   std::nth_element(durations.begin(), usual, durations.end());
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -114,6 +114,8 @@
     RefuseForStop();
     return;
   }
+  mIsTaken = true;
+  mContext.mDurations.Begin(mAdmission.mRoute->mName, mRequest.mArrival);
   mContext.RetryBudgetFor(mPool).RecordRequest();
   PlaceRequest();
 }
@@ -138,14 +140,16 @@
 }
 
 bool
-Exchange::MayEndBeforeStop() const
+Exchange::MayEndBeforeStop()
 {
-  return !mContext.mStop ||
-         mContext.mStop->MayTake(
-           mContext.mIsAccepting,
-           mContext.mClock.Now(),
-           mDeadline,
-           mContext.mDurations.UsualLongest(mAdmission.mRoute->mName));
+  if (!mContext.mStop) {
+    return true;
+  }
+  const auto now = mContext.mClock.Now();
+  mUsualLongest =
+    mContext.mDurations.UsualLongest(mAdmission.mRoute->mName, now);
+  return mContext.mStop->MayTake(
+    mContext.mIsAccepting, now, mDeadline, mUsualLongest);
 }
 
 void
@@ -520,7 +524,7 @@
   }
   if (status / 100 == 2) {
     mContext.mPromptGuard.RecordSound(mMetadata);
-    mContext.mDurations.Record(mAdmission.mRoute->mName, Elapsed());
+    mDuration = Elapsed();
   }
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
@@ -690,7 +694,7 @@
     return;
   }
   if (mResponse.HasBegun()) {
-    mContext.mDurations.Record(mAdmission.mRoute->mName, Elapsed());
+    mDuration = Elapsed();
     AbortResponse("deadline passed during the response");
     return;
   }
@@ -764,6 +768,10 @@
   if (mQueueId != 0) {
     mContext.Dequeue(mQueueId);
   }
+  if (mIsTaken) {
+    mContext.mDurations.End(
+      mAdmission.mRoute->mName, mRequest.mArrival, mDuration);
+  }
   const std::string route =
     mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
   LOGI("Ended. request="
@@ -795,7 +803,9 @@
   }
   const auto age =
     duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
-  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count());
+  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count()) +
+         " usualLongestMilliseconds=" +
+         std::to_string(mUsualLongest.value_or(milliseconds(-1)).count());
 }
 
 milliseconds
