Count a log message of several lines once

Counts of dropped lines wrapped around after a message with line breaks, and the log told of dropped lines. Cause: since dropped lines were what was queued less the line breaks that were written. Entries are counted now.

--- a/src/framework/log/internal/linewriter.cpp
+++ b/src/framework/log/internal/linewriter.cpp
@@ -29,7 +29,7 @@
 {
   const std::lock_guard lock(mMutex);
   if (mLines.size() >= mMaxLines) {
-    ++mDropped;
+    ++mQueueFull;
     ++mDroppedCount;
     return;
   }
@@ -48,7 +48,7 @@
     mHasChanged.wait(lock, [this] { return mIsStopping || !mLines.empty(); });
     mHasChanged.wait_for(lock, kGather, [this] { return mIsStopping; });
     std::deque<std::string> lines = std::exchange(mLines, {});
-    const uint64_t dropped = std::exchange(mDropped, 0);
+    const uint64_t dropped = std::exchange(mQueueFull, 0);
     lock.unlock();
     WriteAll(lines, dropped);
     lock.lock();
@@ -85,10 +85,10 @@
 void
 LineWriter::WriteAll(const std::deque<std::string>& aLines, uint64_t aDropped)
 {
-  mUnwritten += aDropped;
+  mUnreported += aDropped;
   const uint64_t dropped =
     WriteOwed() ? aLines.size() - WriteLines(aLines) : aLines.size();
-  mUnwritten += dropped;
+  mUnreported += dropped;
   mDroppedCount += dropped;
   mWaitingCount -= aLines.size();
 }
@@ -101,11 +101,14 @@
     text += line;
   }
   const size_t written = WriteSome(text);
-  const bool isInsideLine = written > 0 && text[written - 1] != '\n';
-  const size_t end = isInsideLine ? text.find('\n', written) + 1 : written;
+  size_t n = 0;
+  size_t end = 0;
+  while (n < aLines.size() && end < written) {
+    end += aLines[n].size();
+    ++n;
+  }
   mUnfinished = text.substr(written, end - written);
-  return static_cast<size_t>(std::count(
-    text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), '\n'));
+  return n;
 }
 
 bool
@@ -114,16 +117,17 @@
   if (!WriteOrKeep(std::exchange(mUnfinished, {}))) {
     return false;
   }
-  if (mUnwritten == 0) {
+  if (mUnreported == 0) {
     return true;
   }
   const std::string notice =
-    "WARN  log: Lines were dropped. lines=" + std::to_string(mUnwritten) + "\n";
-  const uint64_t unwritten = std::exchange(mUnwritten, 0);
+    "WARN  log: Lines were dropped. lines=" + std::to_string(mUnreported) +
+    "\n";
+  const uint64_t unreported = std::exchange(mUnreported, 0);
   const bool isWritten = WriteOrKeep(notice);
   if (mUnfinished.size() == notice.size()) {
     mUnfinished.clear();
-    mUnwritten = unwritten;
+    mUnreported = unreported;
   }
   return isWritten;
 }
--- a/src/framework/log/internal/linewriter.h
+++ b/src/framework/log/internal/linewriter.h
@@ -38,7 +38,8 @@
    * take are dropped and counted. */
   void WriteAll(const std::deque<std::string>& aLines, uint64_t aDropped);
   /** Writes whole lines only: a line that the descriptor takes in part is
-   * finished later. Returns the number of lines, that one included. */
+   * finished later. Returns the number of lines, that one included. A line may
+   * have line breaks of its own. */
   size_t WriteLines(const std::deque<std::string>& aLines);
   /** Writes the rest of a line and the number of lines that were dropped.
    * Returns whether both were written. */
@@ -57,7 +58,8 @@
   mutable std::mutex mMutex;
   std::condition_variable mHasChanged;
   std::deque<std::string> mLines;
-  uint64_t mDropped = 0;
+  /** Lines that found the queue full since the loop last looked. */
+  uint64_t mQueueFull = 0;
   bool mIsStopping = false;
   bool mHasEnded = false;
   std::chrono::steady_clock::time_point mWriteDeadline{};
@@ -65,7 +67,7 @@
    * number below. */
   std::string mUnfinished;
   /** Lines that were dropped since the last notice of it. */
-  uint64_t mUnwritten = 0;
+  uint64_t mUnreported = 0;
   std::atomic<uint64_t> mWaitingCount = 0;
   std::atomic<uint64_t> mDroppedCount = 0;
 };
--- a/src/framework/log/tests/boundedappendertest.cpp
+++ b/src/framework/log/tests/boundedappendertest.cpp
@@ -202,3 +202,20 @@
   CHECK(text.find("Lines were dropped.") != std::string::npos);
   CHECK(text.ends_with("the last line\n"));
 }
+
+/** Guards against counts that are wrong because a message has line breaks. */
+TEST(BoundedAppender, AMessageOfSeveralLinesCountsOnce)
+{
+  log4cplus::helpers::SharedObjectPtr<log::BoundedAppender> appender(
+    new log::BoundedAppender(mPipe[1]));
+  Logger().addAppender(log4cplus::SharedAppenderPtr(appender.get()));
+
+  LOG4CPLUS_INFO(Logger(), "one\ntwo\nthree");
+  Logger().removeAllAppenders();
+  appender->close();
+  close(mPipe[1]);
+
+  LONGS_EQUAL(0, appender->Counts().mDropped);
+  LONGS_EQUAL(0, appender->Counts().mWaiting);
+  CHECK(ReadAll().find("dropped") == std::string::npos);
+}
