Take all requests again while connections are accepted

A caller that is refused has few retries and may meet another gateway that stops. What a request would need is how long it takes itself, known to a process that has just started.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -110,12 +110,12 @@
     return;
   }
   SetDeadlines();
-  if (!MayEndBeforeStop()) {
+  if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
+                                                 mContext.mClock.Now(),
+                                                 mDeadline)) {
     RefuseForStop();
     return;
   }
-  mIsTaken = true;
-  mContext.mDurations.Begin(mAdmission.mRoute->mName, mRequest.mArrival);
   mContext.RetryBudgetFor(mPool).RecordRequest();
   PlaceRequest();
 }
@@ -139,19 +139,6 @@
   return true;
 }
 
-bool
-Exchange::MayEndBeforeStop()
-{
-  if (!mContext.mStop) {
-    return true;
-  }
-  const auto now = mContext.mClock.Now();
-  mUsualLongest =
-    mContext.mDurations.UsualLongest(mAdmission.mRoute->mName, now);
-  return mContext.mStop->MayTake(
-    mContext.mIsAccepting, now, mDeadline, mUsualLongest);
-}
-
 void
 Exchange::RefuseForStop()
 {
@@ -524,7 +511,6 @@
   }
   if (status / 100 == 2) {
     mContext.mPromptGuard.RecordSound(mMetadata);
-    mDuration = Elapsed();
   }
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
@@ -694,7 +680,6 @@
     return;
   }
   if (mResponse.HasBegun()) {
-    mDuration = Elapsed();
     AbortResponse("deadline passed during the response");
     return;
   }
@@ -768,10 +753,6 @@
   if (mQueueId != 0) {
     mContext.Dequeue(mQueueId);
   }
-  if (mIsTaken) {
-    mContext.mDurations.End(
-      mAdmission.mRoute->mName, mRequest.mArrival, mDuration);
-  }
   const std::string route =
     mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
   LOGI("Ended. request="
@@ -803,9 +784,7 @@
   }
   const auto age =
     duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
-  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count()) +
-         " usualLongestMilliseconds=" +
-         std::to_string(mUsualLongest.value_or(milliseconds(-1)).count());
+  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count());
 }
 
 milliseconds
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,9 +57,6 @@
    * responds with the reason and returns false. */
   bool TryAdmit();
   void SetDeadlines();
-  /** Whether the request is expected to end before the process does, if that
-   * is told to stop. */
-  bool MayEndBeforeStop();
   /** Refuses a request that may not be complete before the process ends. */
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
@@ -114,8 +111,8 @@
    * for complete. */
   void AbortResponse(const std::string& aReason);
   void Finish(unsigned aStatus, const std::string& aOutcome);
-  /** Fields of the log that tell when a request came to a process that is told
-   * to stop, and how long its like take if it came after that; empty before. */
+  /** Field of the log that tells when a request came to a process that is told
+   * to stop; empty before that. */
   std::string StopFields() const;
   milliseconds RemainingTime() const;
   milliseconds Elapsed() const;
@@ -148,12 +145,6 @@
   /** An endpoint has stated that it did not run the request. */
   bool mWasRefused = false;
   bool mIsFinished = false;
-  bool mIsTaken = false;
-  /** How long requests of the route usually take at the longest, as far as it
-   * was known when this one came to a process that is told to stop. */
-  std::optional<milliseconds> mUsualLongest;
-  /** How long the request took, if its answer took its whole time. */
-  std::optional<milliseconds> mDuration;
   std::string mLastFailure;
   std::string mLastEndpoint;
   ResponseForwarder mResponse;
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -46,15 +46,7 @@
 TrafficContext::SetSnapshot(
   std::shared_ptr<const published::Snapshot> aSnapshot)
 {
-  const bool isNew = aSnapshot->Version() != mSnapshot->Version();
   mSnapshot = std::move(aSnapshot);
-  if (isNew && mSnapshot->IsKnown()) {
-    std::set<std::string> routes;
-    for (const published::Route& route : mSnapshot->Tables().mRoutes) {
-      routes.insert(route.mName);
-    }
-    mDurations.KeepOnly(routes);
-  }
   mConnections.CloseExpired(*mSnapshot);
   WakeQueued();
 }
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "framework/metrics/metrics.h"
-#include "gateway/answerdurations.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
 #include "gateway/internal/promptguard.h"
@@ -47,7 +46,6 @@
   EndpointBalancer mBalancer;
   EndpointConnections mConnections;
   PromptGuard mPromptGuard;
-  AnswerDurations mDurations;
   std::mt19937_64 mRandom;
   /** Set once the process is told to stop. */
   std::optional<StopSchedule> mStop;
--- a/src/gateway/stopschedule.h
+++ b/src/gateway/stopschedule.h
@@ -2,8 +2,6 @@
 
 #include "framework/global/iclock.h"
 
-#include <optional>
-
 namespace beryllever::gateway {
 
 /** Times of a planned stop of this process. */
@@ -17,19 +15,16 @@
   global::TimePoint mEnd{};
 
   /** Whether a request that is whole now, and ends by its deadline at the
-   * latest, is taken. While connections are accepted, callers do not know of
-   * the stop yet: what usually ends in time is taken. Later only what the end
-   * of the grace time cannot cut off is; a process that closes its listener
-   * late takes no more for it. aUsualDuration is how long such requests
-   * usually take at the longest, if that is known. */
+   * latest, is taken. While connections are accepted all are, since callers do
+   * not know of the stop yet; later only those that the end of the grace time
+   * cannot cut off. A process that closes its listener late takes none for it.
+   */
   bool MayTake(bool aIsAccepting,
                global::TimePoint aNow,
-               global::TimePoint aDeadline,
-               std::optional<std::chrono::milliseconds> aUsualDuration) const
+               global::TimePoint aDeadline) const
   {
     const bool isEarly = aIsAccepting && aNow < mAcceptDeadline + kMaxDelay;
-    const bool usuallyEnds = !aUsualDuration || aNow + *aUsualDuration <= mEnd;
-    return (isEarly && usuallyEnds) || aDeadline <= mEnd;
+    return isEarly || aDeadline <= mEnd;
   }
 
   /** Longest delay of a busy process in closing its listener. Callers that are
--- a/src/gateway/tests/stopscheduletest.cpp
+++ b/src/gateway/tests/stopscheduletest.cpp
@@ -18,7 +18,6 @@
 TEST_GROUP(StopSchedule)
 {
   const global::TimePoint mNow{ std::chrono::hours(1) };
-  const milliseconds mEndless{ std::chrono::hours(1) };
 };
 
 /** Guards against requests that are taken later than the platform excuses,
@@ -44,9 +43,9 @@
   const auto late = schedule.mEnd + milliseconds(1);
   const auto accept = schedule.mAcceptDeadline;
 
-  CHECK(schedule.MayTake(true, accept, late, std::nullopt));
-  CHECK(schedule.MayTake(false, accept, schedule.mEnd, mEndless));
-  CHECK_FALSE(schedule.MayTake(false, accept, late, milliseconds(1)));
+  CHECK(schedule.MayTake(true, accept, late));
+  CHECK(schedule.MayTake(false, accept, schedule.mEnd));
+  CHECK_FALSE(schedule.MayTake(false, accept, late));
 }
 
 /** Guards against requests that a process short of processor time takes, as it
@@ -55,20 +54,6 @@
 {
   const StopSchedule schedule = PlanStop(mNow, kGraceTime, milliseconds(2000));
 
-  CHECK_FALSE(schedule.MayTake(true,
-                               mNow + kMaxExcused,
-                               schedule.mEnd + milliseconds(1),
-                               milliseconds(1)));
-}
-
-/** Guards against streams that are taken early in a stop and cut at its end. */
-TEST(StopSchedule, ARequestThatUsuallyOutlastsTheStopIsNotTaken)
-{
-  const StopSchedule schedule = PlanStop(mNow, kGraceTime, milliseconds(2000));
-  const auto late = schedule.mEnd + milliseconds(1);
-  const milliseconds usual(6000);
-
-  CHECK(schedule.MayTake(true, schedule.mEnd - usual, late, usual));
   CHECK_FALSE(schedule.MayTake(
-    true, schedule.mEnd - usual + milliseconds(1), late, usual));
+    true, mNow + kMaxExcused, schedule.mEnd + milliseconds(1)));
 }
