Leave a stopped process time to end before it is killed

Callers and operators: a gateway whose peers are frozen and whose log nobody reads was killed at the end of the grace time, after its traffic had ended. Cause: once the grace time ends the traffic at 7.7 s, the next look at idleness (50 ms), the peers' server (200 ms and the end of its connections) and the log (100 ms) came to more than the 300 ms that were left; their limits were never added up. Now 100 ms are for the server, 50 ms for the log and 400 ms are left. The new test fails with 300 ms. Callers' streams end 100 ms sooner.

--- a/src/framework/log/boundedappender.h
+++ b/src/framework/log/boundedappender.h
@@ -28,7 +28,7 @@
   LineCounts Counts() const;
 
   static constexpr size_t kMaxLines = 8192;
-  static constexpr std::chrono::milliseconds kCloseTime{ 100 };
+  static constexpr std::chrono::milliseconds kCloseTime{ 50 };
 
 protected:
   void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override;
--- a/src/gateway/internal/stopschedule.cpp
+++ b/src/gateway/internal/stopschedule.cpp
@@ -14,8 +14,10 @@
 /** Fraction of the grace time after which a request is accepted only if it ends
  * in time for sure. Those accepted before have the rest to end. */
 constexpr double kAcceptGraceFraction = 0.35;
-/** Part of the grace time that is reserved for stopping the process. */
-constexpr milliseconds kStopReserve{ 300 };
+/** Part of the grace time that is reserved for stopping the process: for the
+ * daemon's next look at whether it is idle, the end of the peers' server, and
+ * the last lines of the log. */
+constexpr milliseconds kStopReserve{ 400 };
 
 }
 
--- a/src/gateway/tests/stopscheduletest.cpp
+++ b/src/gateway/tests/stopscheduletest.cpp
@@ -57,3 +57,15 @@
   CHECK_FALSE(schedule.MayTake(
     true, mNow + kMaxExcused, schedule.mEnd + milliseconds(1)));
 }
+
+/** Guards against a process that is killed at the end of the grace time, since
+ * the end of its peers' server and of its log takes longer than is left. */
+TEST(StopSchedule, TheRestOfTheProcessHasTimeToEnd)
+{
+  // The next look at whether the process is idle, the server, the log.
+  constexpr milliseconds kRest{ 50 + 250 + 50 };
+
+  const StopSchedule schedule = PlanStop(mNow, kGraceTime, milliseconds(2000));
+
+  CHECK(schedule.mEnd + kRest <= mNow + kGraceTime);
+}
--- a/src/transport/internal/grpcserver.cpp
+++ b/src/transport/internal/grpcserver.cpp
@@ -12,7 +12,7 @@
 constexpr int kKeepaliveMilliseconds = 5000;
 constexpr int kKeepaliveTimeoutMilliseconds = 2000;
 /** Time in which calls may end by themselves when the process stops. */
-constexpr std::chrono::milliseconds kStopTime{ 200 };
+constexpr std::chrono::milliseconds kStopTime{ 100 };
 constexpr std::chrono::milliseconds kStopPoll{ 5 };
 
 }
