Tell endpoints the priority of a request where priorities differ

Cause: the caller's own priority field was dropped and nothing was sent in its place, so an endpoint whose queue has requests of several classes began them in the order of their arrival.

Change: a configuration whose routes (or workspaces) of one pool have different priorities makes the gateway send each request's priority with the attempt. Pools whose requests are all alike are served as before.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -257,6 +257,9 @@
   }
   AttemptMetadata metadata{ .mEndpointId = aEndpoint.mId,
                             .mWorkspace = mAdmission.mWorkspace };
+  if (mSnapshot->HasPriorities(mPool)) {
+    metadata.mPriority = mAdmission.mPriority;
+  }
   if (mHasCallerDeadline) {
     metadata.mRemainingTime = std::max(milliseconds(1), RemainingTime());
   }
--- a/src/gateway/requestcodec.h
+++ b/src/gateway/requestcodec.h
@@ -40,6 +40,9 @@
   std::string mWorkspace;
   std::optional<milliseconds> mRemainingTime;
   std::optional<int64_t> mLastEventId;
+  /** Order in which the endpoint begins requests, 0 first; not set if the
+   * requests of the pool do not differ. */
+  std::optional<int> mPriority;
 };
 
 /** Metadata from the header fields of an endpoint's response. */
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -1,6 +1,7 @@
 #include "published/publishedstate.h"
 
 #include "framework/log/log.h"
+#include "published/priorities.h"
 
 #include <algorithm>
 
@@ -178,6 +179,7 @@
   LOGI("Configuration is in force. version="
        << aConfiguration.mVersion << " routes=" << aConfiguration.mRoutes.size()
        << " pools=" << aConfiguration.mPools.size());
+  aConfiguration.mPrioritizedPools = FindPrioritizedPools(aConfiguration);
   mConfiguration = std::make_shared<Configuration>(std::move(aConfiguration));
   return true;
 }
--- a/src/published/internal/snapshot.cpp
+++ b/src/published/internal/snapshot.cpp
@@ -74,6 +74,12 @@
          !mOutZones.contains(aEndpoint.mAvailabilityZone);
 }
 
+bool
+Snapshot::HasPriorities(const std::string& aPool) const
+{
+  return IsKnown() && mConfiguration->mPrioritizedPools.contains(aPool);
+}
+
 std::vector<const Endpoint*>
 Snapshot::UsableEndpoints(const std::string& aPool) const
 {
--- a/src/published/publishedtypes.h
+++ b/src/published/publishedtypes.h
@@ -125,6 +125,9 @@
   /** Whether requests need a key. */
   bool mHasWorkspaces = false;
   std::map<std::string, Workspace> mWorkspacesByKey;
+  /** Pools whose requests have different priorities, see
+   * FindPrioritizedPools(). */
+  std::set<std::string> mPrioritizedPools;
 };
 
 /** Whether an endpoint accepts new requests. */
--- a/src/published/snapshot.h
+++ b/src/published/snapshot.h
@@ -35,6 +35,8 @@
   /** Endpoints of a pool that may get new requests. */
   std::vector<const Endpoint*> UsableEndpoints(const std::string& aPool) const;
   bool IsUsable(const Endpoint& aEndpoint) const;
+  /** Whether requests of the pool have different priorities. */
+  bool HasPriorities(const std::string& aPool) const;
   const std::set<std::string>& OutZones() const { return mOutZones; }
 
 private:
