Give the owner of a hold that wakes the time of a change

Cause: the age of a hold was counted from the last pass, not from when its owner could act again.

Change: a leader counts a hold as abandoned 0.5 s after its owner could be read again, or after another leader was seen to clear it. A leader that other live leaders precede, none of which holds the pass, waits 0.35 s for each of them. A hold whose owner is dead while its engine answers is cleared as fast as before, and so is a hold of the leader's own rank.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -34,6 +34,13 @@
  * which the second leader checks for an abandoned hold. A pass takes about
  * 0.1 s, and a change takes less. */
 constexpr milliseconds kAbandonedHoldTimeout{ 350 };
+/** Age at which a hold counts as abandoned whose owner could not be read and
+ * can again, or which another leader clears. An owner that wakes from a freeze
+ * first works off what has arrived meanwhile. */
+constexpr milliseconds kResumedHoldTimeout{ 500 };
+/** Additional time for each leader that clears a hold first. In this time a
+ * leader places its own hold and the others read it. */
+constexpr milliseconds kClearTurn{ 350 };
 /** Smallest number of passes from the current one to the first with the new
  * map. The switch takes three message round trips, each shorter than a pass. */
 constexpr uint64_t kMinPassesAhead = 2;
@@ -184,6 +191,7 @@
   if (mIsStopping) {
     return;
   }
+  UpdateReadableRanks();
   if (mPreparingVersion != 0 &&
       mSampler.HasGroupChanged(mLocalRank->mGroup, mPreparingEpoch)) {
     AbandonMap("the group has changed");
@@ -281,6 +289,77 @@
   return held;
 }
 
+void
+GroupLeader::UpdateReadableRanks()
+{
+  for (uint32_t rank = 0; rank < mSampler.All().size(); ++rank) {
+    if (!mSampler.All()[rank]) {
+      mUnreadableRanks.insert(rank);
+    } else if (mUnreadableRanks.erase(rank) > 0) {
+      mReadableSince[rank] = mClock.Now();
+    }
+  }
+}
+
+void
+GroupLeader::UpdateHolders(uint64_t aStep)
+{
+  const auto now = mClock.Now();
+  const bool isNew =
+    mHeldSince == global::TimePoint{} || aStep != mObservedHeldStep;
+  if (isNew) {
+    mHeldSince = now;
+    mObservedHeldStep = aStep;
+    mHolders.clear();
+  }
+  for (uint32_t rank = 0; rank < mSampler.All().size(); ++rank) {
+    if (mSampler.State(rank).mHeldStep != aStep) {
+      mHolders.erase(rank);
+      continue;
+    }
+    auto& since = mHolders.try_emplace(rank, isNew ? global::TimePoint{} : now)
+                    .first->second;
+    const auto it = mReadableSince.find(rank);
+    if (it == mReadableSince.end() || it->second <= since ||
+        now - it->second >= kResumedHoldTimeout) {
+      continue;
+    }
+    since = it->second;
+    LOGI("The owner of a hold can be read again and is given time. group="
+         << mLocalRank->mGroup << " step=" << aStep << " rank=" << rank);
+  }
+}
+
+size_t
+GroupLeader::CountPrecedingClearers() const
+{
+  const std::vector<uint32_t> eligible = mPort.EligibleRanks();
+  return static_cast<size_t>(
+    std::count_if(eligible.begin(), eligible.end(), [this](uint32_t aRank) {
+      return aRank < mLocalRank->mRank && !mHolders.contains(aRank);
+    }));
+}
+
+global::TimePoint
+GroupLeader::AbandonedTime(uint64_t aStep) const
+{
+  // A hold of the next pass is at least as old as the wait for that pass.
+  const auto since = aStep == mLocalRank->mStep + 1
+                       ? std::min(mHeldSince, mStepSince)
+                       : mHeldSince;
+  auto time = since + kAbandonedHoldTimeout;
+  // The change that has placed a hold of the local rank is over.
+  if (mHolders.contains(mLocalRank->mRank)) {
+    return time;
+  }
+  for (const auto& [rank, activeSince] : mHolders) {
+    if (activeSince != global::TimePoint{}) {
+      time = std::max(time, activeSince + kResumedHoldTimeout);
+    }
+  }
+  return time + kClearTurn * CountPrecedingClearers();
+}
+
 bool
 GroupLeader::HandleHold()
 {
@@ -289,20 +368,12 @@
     mHeldSince = {};
     return false;
   }
-  const auto now = mClock.Now();
-  if (mHeldSince == global::TimePoint{} || held != mObservedHeldStep) {
-    mHeldSince = now;
-    mObservedHeldStep = held;
-  }
+  UpdateHolders(held);
   const uint64_t own = mSampler.State(mLocalRank->mRank).mHeldStep;
   // A delayed order of an earlier run of this process may still release its
   // hold, so the hold protects nothing; another leader clears it.
   const bool isEarlierRun = own != 0 && own != mChangeStep && !mMayLead;
-  // A hold of the next pass is at least as old as the wait for that pass.
-  const auto since = held == mLocalRank->mStep + 1
-                       ? std::min(mHeldSince, mStepSince)
-                       : mHeldSince;
-  if (isEarlierRun || now - since < kAbandonedHoldTimeout) {
+  if (isEarlierRun || mClock.Now() < AbandonedTime(held)) {
     return true;
   }
   LOGW("A hold that a lead has left is cleared. group="
--- a/src/rankagent/internal/groupleader.h
+++ b/src/rankagent/internal/groupleader.h
@@ -8,6 +8,7 @@
 #include "rankagent/internal/mapplanner.h"
 
 #include <QTimer>
+#include <map>
 #include <set>
 
 namespace beryllever::rankagent {
@@ -70,7 +71,16 @@
   milliseconds CountInterval() const;
   int GroupSize() const;
   void UpdateInterval();
+  /** Notes which ranks can be read again after they could not. */
+  void UpdateReadableRanks();
   bool HandleHold();
+  /** Notes the ranks that hold the pass. */
+  void UpdateHolders(uint64_t aStep);
+  /** When the hold of the pass counts as abandoned, unless its owner acts. */
+  global::TimePoint AbandonedTime(uint64_t aStep) const;
+  /** Number of live eligible leaders of lower rank that hold no pass, which
+   * clear a hold first. */
+  size_t CountPrecedingClearers() const;
   void ContinuePreparing();
   void Plan();
   size_t ExpertLayers() const;
@@ -125,6 +135,13 @@
   std::set<uint64_t> mReleasedSteps;
   uint64_t mObservedHeldStep = 0;
   global::TimePoint mHeldSince{};
+  /** Ranks that hold mObservedHeldStep, and since when they can act: the time
+   * at which they were read again after they could not be, or at which another
+   * leader was seen to clear the hold. */
+  std::map<uint32_t, global::TimePoint> mHolders;
+  std::set<uint32_t> mUnreadableRanks;
+  /** Ranks that could not be read, and when they were read again. */
+  std::map<uint32_t, global::TimePoint> mReadableSince;
   /** When the local rank was first seen in its current pass. */
   global::TimePoint mStepSince{};
   global::TimePoint mNextPlanTime{};
--- a/src/rankagent/tests/groupleadertest.cpp
+++ b/src/rankagent/tests/groupleadertest.cpp
@@ -48,6 +48,8 @@
       });
   }
   int Orders() const { return mOrders; }
+  /** Number of times that all ranks were read. */
+  int Rounds() const { return mRounds; }
   int PrepareOrders() const { return mPrepareOrders; }
   /** Calls a function at the next order. */
   void SetOnOrder(std::function<void()> aOnOrder)
@@ -63,15 +65,27 @@
     return mDelayedOrders;
   }
 
+  /** The rank cannot be read, as if its machine were frozen. */
+  void SetReadable(uint32_t aRank, bool aIsReadable)
+  {
+    mUnreadable = aIsReadable ? std::nullopt : std::optional(aRank);
+  }
+  void SetEligible(std::vector<uint32_t> aRanks) { mEligible = aRanks; }
+
   std::vector<uint32_t> LiveRanks() const override { return { 0, 2 }; }
-  std::vector<uint32_t> EligibleRanks() const override { return { 0, 2 }; }
+  std::vector<uint32_t> EligibleRanks() const override { return mEligible; }
   std::vector<uint32_t> RanksToCount() const override { return { 1, 0, 2 }; }
 
   void Sample(uint32_t aRank, SampleDepth, OnSample aOnSample) override
   {
     transport::Post(&mTimer, [this, aRank, aOnSample] {
+      if (mUnreadable == aRank) {
+        aOnSample(std::nullopt);
+        return;
+      }
       aOnSample(
         RankSample{ .mState = mRanks[aRank], .mExperts = { { aRank } } });
+      mRounds += aRank + 1 == kRanks ? 1 : 0;
     });
   }
 
@@ -133,7 +147,10 @@
   }
 
   std::vector<RankState> mRanks;
+  std::optional<uint32_t> mUnreadable;
+  std::vector<uint32_t> mEligible{ 0, 2 };
   std::function<void()> mOnOrder;
+  int mRounds = 0;
   int mOrders = 0;
   int mPrepareOrders = 0;
   bool mDelaysPrepareOrders = false;
@@ -190,6 +207,71 @@
   CHECK(!callerTimeout.hasExpired());
 }
 
+/** Guards against leaders that fight over a pass when the owner of a hold wakes
+ * from a freeze and goes on with its change. */
+TEST(GroupLeader, GivesAnOwnerThatCanBeReadAgainTheTimeOfAChange)
+{
+  // Arrange: the first leader holds the next pass and freezes.
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mGroup.SetReadable(0, false);
+  const uint64_t held = mGroup.Step() + 2;
+  mGroup.Rank(0).mHeldStep = held;
+  const QDeadlineTimer freeze(milliseconds(1500));
+  ProcessEventsUntil([&] { return freeze.hasExpired(); });
+  LONGS_EQUAL(0, mGroup.Orders());
+
+  // Act
+  mGroup.SetReadable(0, true);
+
+  // Assert: the owner has time for its change, but not without end.
+  const QDeadlineTimer change(milliseconds(400));
+  ProcessEventsUntil([&] { return change.hasExpired(); });
+  LONGS_EQUAL(0, mGroup.Orders());
+  CHECK(ProcessEventsUntil([&] { return mGroup.Step() > held; }));
+}
+
+/** Guards against two leaders that clear the same pass at the same time and
+ * invalidate each other's orders. */
+TEST(GroupLeader, GivesTheTimeOfAChangeToALeaderThatClearsAHold)
+{
+  // Arrange: the leader of rank 0 is dead and holds a pass.
+  mGroup.SetEligible({ 2 });
+  CHECK(ProcessEventsUntil([&] { return mGroup.Rounds() > 0; }));
+  mGroup.Rank(0).mHeldStep = mGroup.Step() + 2;
+  const int rounds = mGroup.Rounds();
+  CHECK(ProcessEventsUntil([&] { return mGroup.Rounds() > rounds; }));
+  LONGS_EQUAL(0, mGroup.Orders());
+
+  // Act: another leader places its own hold.
+  mGroup.Rank(2).mHeldStep = mGroup.Rank(0).mHeldStep;
+
+  // Assert
+  const QDeadlineTimer change(milliseconds(400));
+  ProcessEventsUntil([&] { return change.hasExpired(); });
+  LONGS_EQUAL(0, mGroup.Orders());
+  CHECK(ProcessEventsUntil([&] { return !mGroup.IsHeld(); }));
+}
+
+/** Guards against a leader that clears at the same time as the one before it,
+ * once the owner of the hold is not known to be alive any more. */
+TEST(GroupLeader, LetsAPrecedingLeaderClearFirst)
+{
+  // Arrange
+  CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
+  mGroup.SetEligible({ 0 });
+  const QDeadlineTimer gossip(milliseconds(700));
+  ProcessEventsUntil([&] { return gossip.hasExpired(); });
+
+  // Act: a rank whose agent is dead holds the next pass.
+  mGroup.Rank(2).mHeldStep = mGroup.Step() + 2;
+
+  // Assert
+  const QDeadlineTimer turn(milliseconds(600));
+  ProcessEventsUntil([&] { return turn.hasExpired(); });
+  LONGS_EQUAL(0, mGroup.Orders());
+  CHECK(ProcessEventsUntil([&] { return !mGroup.IsHeld(); }));
+}
+
 TEST(GroupLeader, ReportsAStalledGroup)
 {
   CHECK(ProcessEventsUntil([&] { return mLeader.MayLead(); }));
