Tell after eight usual passes that a group takes no work

Cause: agents told gateways only after 1.2 s without a pass that a group stands still, though a pass takes 0.06 to 0.1 s. Until then gateways sent requests into a group that served none.

Change: StallDetector learns the usual duration of a pass from the states that the agent reads, and reports a stall after eight of them, at least 0.4 s and at most 1.2 s (0.56 s for passes of 0.07 s). Eight, because an engine may become five times slower at once and a new pass is seen up to a read interval late. Time without work, time without states, and time in which the agent itself was held up do not count. A log line tells when a group takes no work and when it takes work again.

--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -14,11 +14,6 @@
 
 constexpr char kLogTag[] = "rank";
 constexpr milliseconds kReadInterval{ 100 };
-/** Time without a new pass after which the group accepts no more requests. It
- * is longer than a slow pass, and callers abandon streams that are silent for 2
- * s.
- */
-constexpr milliseconds kStallTimeout{ 1200 };
 /** Longest time that a stop waits for a change of the map. Longer than a change
  * takes, unless ranks do not answer; well within the grace time. */
 constexpr milliseconds kMaxStopTime{ 3000 };
@@ -50,6 +45,7 @@
   , mAgents(mMesh)
   , mPeerEngines(aClock, *mEngineCodec)
   , mLeader(aClock, *this, aMetrics)
+  , mStallDetector(aClock)
   , mService(std::make_shared<RankService>(&mContext, *this))
 {
   mMesh.SetListener(*this);
@@ -152,6 +148,7 @@
     return;
   }
   mIsReading = true;
+  mStallDetector.BeginRead();
   mEngine.ReadState([this](const std::optional<RankState>& aState) {
     mIsReading = false;
     HandleState(aState);
@@ -165,14 +162,14 @@
     LOGI("The engine " << (aState ? "answers." : "does not answer."));
   }
   mRankState = aState;
+  DetectStall();
   mPeers.clear();
   auto& load = mMesh.Members().Self().mLoad;
   load.reset();
   if (mRankState) {
     UpdatePeers();
     mLeader.SetRank(*mRankState);
-    const bool takesWork =
-      mRankState->mIsOpen && !mLeader.IsStalledFor(kStallTimeout);
+    const bool takesWork = mRankState->mIsOpen && !mStallDetector.IsStalled();
     load = mesh::EndpointLoad{ mEndpointAddress,  mRankState->mRequests,
                                takesWork,         mRankState->mGroup,
                                mRankState->mRank, mRankState->mSize,
@@ -180,6 +177,26 @@
   }
 }
 
+void
+RankNode::DetectStall()
+{
+  if (!mRankState) {
+    mStallDetector.Reset();
+    return;
+  }
+  const bool wasStalled = mStallDetector.IsStalled();
+  mStallDetector.HandleState(*mRankState);
+  if (mStallDetector.IsStalled() == wasStalled) {
+    return;
+  }
+  LOGI("The group " << (wasStalled ? "takes work again." : "takes no work.")
+                    << " group=" << mRankState->mGroup << " rank="
+                    << mRankState->mRank << " step=" << mRankState->mStep
+                    << " held=" << mRankState->mHeldStep << " requests="
+                    << mRankState->mRequests << " timeoutMilliseconds="
+                    << mStallDetector.Timeout().count());
+}
+
 void
 RankNode::UpdatePeers()
 {
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -11,6 +11,7 @@
 #include "rankagent/internal/peerengines.h"
 #include "rankagent/internal/rankservice.h"
 #include "rankagent/internal/relayplan.h"
+#include "rankagent/internal/stalldetector.h"
 
 #include <map>
 
@@ -83,6 +84,7 @@
   std::string AgentAddress(uint32_t aRank) const;
   /** Reads the other live agents of the local rank's group from the mesh. */
   void UpdatePeers();
+  void DetectStall();
 
   QObject mContext;
   const global::IClock& mClock;
@@ -96,6 +98,7 @@
   PeerEngines mPeerEngines;
   MapHistory mMaps;
   GroupLeader mLeader;
+  StallDetector mStallDetector;
   std::shared_ptr<RankService> mService;
   std::optional<RankState> mRankState;
   /** Live agents of the group, by rank; as of the last state of the engine. */
