Send nothing to a slow rank while the rest of its group can serve

A pass of a lock-step group lasts as long as the slowest rank's own part, which grows with the requests at that rank. The score divides by the reported slowdown, but the limit did not, so a backlog filled a slow rank like any other.

The limit of an endpoint in a pool with expert layers is now divided by its slowdown relative to the pool's median.

gateway_test: 46 of 46 pass.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -3,6 +3,7 @@
 #include "framework/global/iclock.h"
 #include "gateway/endpointavailability.h"
 #include "gateway/gatewayfleet.h"
+#include "gateway/slowranklimit.h"
 #include "published/snapshot.h"
 
 #include <deque>
@@ -131,10 +132,16 @@
     double mScore = 0;
   };
 
-  /** Whether one more request may be sent to the endpoint now. */
+  /** Whether one more request may be sent to the endpoint now, whose normal
+   * limit is multiplied by the factor. */
   bool HasCapacity(const EndpointStats& aStats,
                    const published::Endpoint& aEndpoint,
-                   const published::Pool& aPool) const;
+                   const published::Pool& aPool,
+                   double aLimitFactor) const;
+  /** How slow the pool is; none unless its endpoints compute in lock-step. */
+  std::optional<PoolSlowness> AssessSlowness(
+    std::vector<const published::Endpoint*> aEndpoints,
+    const published::Pool& aPool) const;
   double Score(const EndpointStats& aStats,
                const published::Endpoint& aEndpoint,
                const PlacementRequest& aRequest) const;
@@ -165,6 +172,7 @@
   mutable std::map<std::string, size_t> mFleetRanks;
   std::map<std::string, EndpointStats> mEndpointStats;
   EndpointAvailability mAvailability;
+  SlowRankLimit mSlowRanks;
   /** When the latest report of any endpoint was received. */
   global::TimePoint mLatestReportAt{};
   /** When any endpoint with an agent last sent a part of a response. */
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -46,6 +46,7 @@
   : mClock(aClock)
   , mRandom(aSeed)
   , mAvailability(aClock)
+  , mSlowRanks(aClock)
 {
 }
 
@@ -64,6 +65,7 @@
   stats.mReport = aReport;
   mLatestReportAt = std::max(mLatestReportAt, aReport.mReceivedAt);
   stats.mOutstandingAtReport = stats.mOutstanding;
+  mSlowRanks.RecordReport(aEndpoint, aReport.mSlowdown);
 }
 
 void
@@ -77,6 +79,7 @@
     return aSnapshot.FindEndpoint(aRank.first) == nullptr;
   });
   mAvailability.RemoveMissing(aSnapshot);
+  mSlowRanks.RemoveMissing(aSnapshot);
 }
 
 Placement
@@ -92,8 +95,9 @@
   bool hasPaused = false;
   const bool needsReport = !aRequest.mTriedEndpoints.empty() &&
                            HasFreshReports(aSnapshot, aRequest.mPool);
-  for (const published::Endpoint* endpoint :
-       aSnapshot.UsableEndpoints(aRequest.mPool)) {
+  const auto endpoints = aSnapshot.UsableEndpoints(aRequest.mPool);
+  const auto slowness = AssessSlowness(endpoints, *pool);
+  for (const published::Endpoint* endpoint : endpoints) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
         mAvailability.IsLeaving(*endpoint)) {
       continue;
@@ -106,7 +110,9 @@
     const EndpointStats& stats = mEndpointStats[endpoint->mId];
     const bool isLate =
       needsReport && ReportDelay(stats) > kMaxReportDelayForRetries;
-    if (!isLate && HasCapacity(stats, *endpoint, *pool)) {
+    const double factor =
+      slowness ? mSlowRanks.Factor(*endpoint, *slowness) : 1;
+    if (!isLate && HasCapacity(stats, *endpoint, *pool, factor)) {
       candidates.push_back({ endpoint, Score(stats, *endpoint, aRequest) });
     }
   }
@@ -120,13 +126,29 @@
   return { PlacementStatus::Chosen, PickFromSample(std::move(candidates)) };
 }
 
+std::optional<PoolSlowness>
+EndpointBalancer::AssessSlowness(
+  std::vector<const published::Endpoint*> aEndpoints,
+  const published::Pool& aPool) const
+{
+  if (!aPool.mEngine || aPool.mEngine->mExpertLayers == 0) {
+    return std::nullopt;
+  }
+  std::erase_if(aEndpoints, [this](const published::Endpoint* aEndpoint) {
+    return mAvailability.IsLeaving(*aEndpoint) ||
+           mAvailability.PausedUntil(*aEndpoint);
+  });
+  return mSlowRanks.Assess(aEndpoints);
+}
+
 bool
 EndpointBalancer::HasCapacity(const EndpointStats& aStats,
                               const published::Endpoint& aEndpoint,
-                              const published::Pool& aPool) const
+                              const published::Pool& aPool,
+                              double aLimitFactor) const
 {
-  const double capacity =
-    aEndpoint.mSlots * (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
+  const double capacity = aLimitFactor * aEndpoint.mSlots *
+                          (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
   const bool isClosed = HasFreshReport(aStats) && !aStats.mReport->mIsOpen;
   return EstimatedRequests(aStats) < capacity && !isClosed &&
          !IsColdLimitReached(aStats, aEndpoint, aPool);
