Bound the trailers and chunk lines of a request

The parser bounds the head of a request, but neither a trailer nor the size line of a chunk with its extensions. A client that sends one without end makes a gateway gather it until its memory runs out.

Refuse a request with 431 whose unparsed bytes exceed the limit of a head and 4 KiB for framing, and free its input at once.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -98,6 +98,10 @@
 
   void HandleData(std::string_view aBytes);
   void Parse();
+  /** Refuses a request whose unparsed bytes exceed the limit of a head and an
+   * allowance for framing; the parser bounds a head, but not a trailer or the
+   * size line of a chunk. */
+  void CheckUnparsed();
   bool TakeHead();
   void Deliver();
   void Refuse(const boost::system::error_code& aError);
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/** Bytes of a chunk's size line with its extensions, and of the line ends
+ * around a trailer, that a request may have beyond the limit of its head. */
+constexpr size_t kMaxFramingBytes = 4 * 1024;
 /** Bytes of a next request that are taken while one is being answered. */
 constexpr size_t kMaxReadAhead = 64 * 1024;
 /** Idle time granted beyond the limit, so that a request sent at the limit does
@@ -165,11 +168,21 @@
       return;
     }
     if (ec == http::error::need_more || n == 0) {
+      CheckUnparsed();
       return;
     }
   }
 }
 
+void
+HttpServerConnection::CheckUnparsed()
+{
+  if (mInput.size() >
+      static_cast<size_t>(mLimits.mHeaderBytes) + kMaxFramingBytes) {
+    RefuseWith(431, "a trailer or the size line of a chunk is too long");
+  }
+}
+
 bool
 HttpServerConnection::TakeHead()
 {
@@ -224,6 +237,7 @@
 {
   mHasRequest = true;
   mIsClosing = true;
+  mInput = std::string();
   if (mHandlers.mOnRefused) {
     mHandlers.mOnRefused(aStatus, aReason);
   }
