Take a status outside 100 to 599 for no response

The parser accepts any three digits as a status, so a response with the status 000 or 999 was forwarded to the caller, and its statement that a request has not run was believed.

End such an attempt as one whose bytes are no response: it is retried if it may run again, otherwise answered 502.

--- a/src/framework/net/internal/httpclientconnection.cpp
+++ b/src/framework/net/internal/httpclientconnection.cpp
@@ -12,6 +12,10 @@
  * or the trailer. */
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 constexpr int kMaxInterimAnswers = 16;
+/** Range of the statuses that the protocol defines; the parser accepts any
+ * three digits. */
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 
 }
 
@@ -172,7 +176,12 @@
 HttpClientConnection::TakeHead()
 {
   const auto& message = mParser->get();
-  if (message.result_int() / 100 == 1) {
+  const unsigned status = message.result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    End(AnswerEnd::Garbled);
+    return false;
+  }
+  if (status / 100 == 1) {
     if (++mInterimAnswers > kMaxInterimAnswers) {
       End(AnswerEnd::Garbled);
       return false;
@@ -183,7 +192,7 @@
     return false;
   }
   mHasHead = true;
-  AnswerHead head{ message.result_int(), message.base() };
+  AnswerHead head{ status, message.base() };
   head.mIsChunked = mParser->chunked();
   if (const auto length = mParser->content_length()) {
     head.mLength = *length;
