Follow the store when it is restored from a copy

After a restore revisions go back and are given out again with other content. A gateway that compared bare revisions kept outdated items, and the ones of the new history were ignored until the revisions had caught up.

StorePosition orders items by (era, revision) and replaces revisions where positions are compared. PublishedState keeps what a new era lacks for 2.2 s, ignores older eras, and never goes back to an older configuration. Gossip and fetches carry the era; messages without it belong to era 0. Rank agents now carry out delayed removals too.

--- a/src/gateway/internal/gatewaynode.cpp
+++ b/src/gateway/internal/gatewaynode.cpp
@@ -191,6 +191,7 @@
   const auto snapshot = mState.Current();
   return { { "configurationVersion", snapshot->Version() },
            { "publishedRevision", snapshot->Revision() },
+           { "publishedEra", mState.Position().mEra },
            { "endpoints", snapshot->AllEndpoints().size() },
            { "outAvailabilityZones", snapshot->OutZones() },
            { "readsStore", mIsReadingStore },
@@ -243,18 +244,18 @@
 
 void
 GatewayNode::HandleListing(std::vector<published::Record> aRecords,
-                           uint64_t aRevision)
+                           const published::StorePosition& aPosition)
 {
-  if (mState.ApplyListing(aRecords, aRevision)) {
+  if (mState.ApplyListing(aRecords, aPosition)) {
     UpdateSnapshot("listing");
   }
 }
 
 void
 GatewayNode::HandleChanges(std::vector<published::Record> aRecords,
-                           uint64_t aRevision)
+                           const published::StorePosition& aPosition)
 {
-  if (mState.ApplyChanges(aRecords, aRevision)) {
+  if (mState.ApplyChanges(aRecords, aPosition)) {
     UpdateSnapshot("watch");
   }
 }
@@ -291,15 +292,15 @@
 }
 
 mesh::RecordBatch
-GatewayNode::RecordsSince(uint64_t aRevision) const
+GatewayNode::RecordsSince(const mesh::StorePosition& aPosition) const
 {
-  return mState.RecordsSince(aRevision);
+  return mState.RecordsSince(aPosition);
 }
 
-uint64_t
-GatewayNode::PublishedRevision() const
+mesh::StorePosition
+GatewayNode::PublishedPosition() const
 {
-  return mState.Revision();
+  return mState.Position();
 }
 
 void
@@ -307,7 +308,8 @@
 {
   if (mState.Apply(aBatch)) {
     LOGI("Published items came from a peer. items="
-         << aBatch.mRecords.size() << " revision=" << aBatch.mRevision);
+         << aBatch.mRecords.size() << " revision=" << aBatch.mPosition.mRevision
+         << " era=" << aBatch.mPosition.mEra);
     UpdateSnapshot("peer");
   }
 }
@@ -412,9 +414,13 @@
                             : "Not all gateways may be known.")
          << " gateways=" << mMesh.Members().GatewayCount());
   }
-  if (mIsReadingStore && mState.Revision() > mAnnouncedRevision) {
-    mAnnouncedRevision = mState.Revision();
-    mMesh.AnnounceRevision();
+  if (mIsReadingStore && mState.Position() > mAnnouncedPosition) {
+    mAnnouncedPosition = mState.Position();
+    mMesh.AnnouncePosition();
+  }
+  if (mState.Position().mEra > mCountedEra) {
+    mCountedEra = mState.Position().mEra;
+    mMetrics.Count("beryllever_store_eras");
   }
   if (mState.ExpireRemovals()) {
     UpdateSnapshot("expiry");
--- a/src/gateway/internal/gatewaynode.h
+++ b/src/gateway/internal/gatewaynode.h
@@ -51,14 +51,15 @@
   std::string NotReadyReason() const;
 
   void HandleListing(std::vector<published::Record> aRecords,
-                     uint64_t aRevision) override;
+                     const published::StorePosition& aPosition) override;
   void HandleChanges(std::vector<published::Record> aRecords,
-                     uint64_t aRevision) override;
+                     const published::StorePosition& aPosition) override;
   void HandleContact() override;
   void HandleFailure(const std::string& aReason) override;
 
-  mesh::RecordBatch RecordsSince(uint64_t aRevision) const override;
-  uint64_t PublishedRevision() const override;
+  mesh::RecordBatch RecordsSince(
+    const mesh::StorePosition& aPosition) const override;
+  mesh::StorePosition PublishedPosition() const override;
   void HandleRecords(const mesh::RecordBatch& aBatch) override;
   void HandleMembers() override;
   void HandleLoad(const mesh::EndpointLoad& aLoad) override;
@@ -111,8 +112,10 @@
   global::TimePoint mLastStoreContact{};
   /** Version of the configuration by which requests are routed. */
   int64_t mVersion = 0;
-  /** Last revision announced to the peers that do not read the store. */
-  uint64_t mAnnouncedRevision = 0;
+  /** Last position announced to the peers that do not read the store. */
+  published::StorePosition mAnnouncedPosition;
+  /** Last era of the store that has been counted. */
+  uint64_t mCountedEra = 0;
   /** Set once the gateway is told to stop. */
   std::optional<StopSchedule> mStop;
   bool mKnowsAllGateways = false;
--- a/src/mesh/internal/gossipplan.cpp
+++ b/src/mesh/internal/gossipplan.cpp
@@ -115,7 +115,7 @@
   std::vector<Member> targets;
   for (const Member& gateway : aGateways) {
     if (IsReading(gateway) ||
-        gateway.mPublishedRevision >= aSelf.mPublishedRevision) {
+        gateway.mPublishedPosition >= aSelf.mPublishedPosition) {
       continue;
     }
     const bool isLocal = gateway.mAvailabilityZone == aSelf.mAvailabilityZone;
--- a/src/mesh/internal/meshnode.cpp
+++ b/src/mesh/internal/meshnode.cpp
@@ -113,11 +113,11 @@
 }
 
 void
-MeshNode::AnnounceRevision()
+MeshNode::AnnouncePosition()
 {
   Member& self = mMembers.Self();
   ++self.mHeartbeat;
-  self.mPublishedRevision = mListener->PublishedRevision();
+  self.mPublishedPosition = mListener->PublishedPosition();
   for (const Member& member :
        RevisionTargets(self, mMembers.AliveWithRole(kGatewayRole))) {
     GossipWith(member.mPeerAddress, {});
@@ -138,7 +138,7 @@
 {
   Member& self = mMembers.Self();
   ++self.mHeartbeat;
-  self.mPublishedRevision = mListener->PublishedRevision();
+  self.mPublishedPosition = mListener->PublishedPosition();
   self.mKnownGateways =
     mMembers.KnowsAllGateways() ? mMembers.GatewayCount() : 0;
   const std::vector<Member> expired = mMembers.Expire();
@@ -292,8 +292,8 @@
     mReportingAgents[aRequest.members(0).vm()] =
       FromMessage(aRequest.members(0));
   }
-  if (isGateway && aRequest.members(0).published_revision() >
-                     mListener->PublishedRevision()) {
+  if (isGateway && FromMessage(aRequest.members(0)).mPublishedPosition >
+                     mListener->PublishedPosition()) {
     FetchIfBehind();
   }
   if (!aRequest.wants_members()) {
@@ -371,10 +371,10 @@
 std::vector<FetchSource>
 MeshNode::SourcesAhead()
 {
-  const uint64_t ownRevision = mListener->PublishedRevision();
+  const StorePosition own = mListener->PublishedPosition();
   std::vector<FetchSource> sources;
   for (const Member& member : mMembers.Alive()) {
-    if (member.mPublishedRevision > ownRevision) {
+    if (member.mPublishedPosition > own) {
       sources.push_back({ .mAddress = member.mPeerAddress,
                           .mIsGateway = member.mRole == kGatewayRole,
                           .mIsInSameZone = member.mAvailabilityZone ==
@@ -390,8 +390,9 @@
 MeshNode::FetchFrom(const std::string& aAddress)
 {
   v1::FetchRequest request;
-  const uint64_t since = mListener->PublishedRevision();
-  request.set_since_revision(since);
+  const StorePosition since = mListener->PublishedPosition();
+  request.set_since_revision(since.mRevision);
+  request.set_since_era(since.mEra);
   const auto start = mClock.Now();
   const auto stub =
     std::shared_ptr<v1::Mesh::Stub>(v1::Mesh::NewStub(ChannelTo(aAddress)));
@@ -406,20 +407,22 @@
                                    const v1::FetchReply& aReply) {
       const auto elapsed =
         std::chrono::duration_cast<milliseconds>(mClock.Now() - start);
-      const bool hasHelped = aStatus.ok() && aReply.revision() > since;
+      const StorePosition position{ aReply.era(), aReply.revision() };
+      const bool hasHelped = aStatus.ok() && position > since;
       mFetchPlan.RecordEnd(aAddress, hasHelped);
       ReplaceSilentChannel(aAddress, aStatus);
       if (aStatus.ok()) {
         LOGI("A peer has sent its published items. peer="
-             << aAddress << " milliseconds=" << elapsed.count()
-             << " items=" << aReply.records_size() << " since=" << since
-             << " revision=" << aReply.revision()
-             << " isFull=" << aReply.is_full());
+             << aAddress << " milliseconds=" << elapsed.count() << " items="
+             << aReply.records_size() << " since=" << since.mRevision
+             << " sinceEra=" << since.mEra << " revision=" << aReply.revision()
+             << " era=" << aReply.era() << " isFull=" << aReply.is_full());
         mListener->HandleRecords(FromMessage(aReply, mClock.Now()));
       } else {
         LOGW("Fetching published items from a peer failed. peer="
              << aAddress << " milliseconds=" << elapsed.count()
-             << " since=" << since << " reason=" << aStatus.error_message());
+             << " since=" << since.mRevision << " sinceEra=" << since.mEra
+             << " reason=" << aStatus.error_message());
       }
       if (hasHelped) {
         FetchIfBehind();
@@ -431,8 +434,8 @@
 MeshNode::HandleFetch(const v1::FetchRequest& aRequest,
                       v1::FetchReply& aReply) const
 {
-  ToMessage(
-    mListener->RecordsSince(aRequest.since_revision()), mClock.Now(), aReply);
+  const StorePosition since{ aRequest.since_era(), aRequest.since_revision() };
+  ToMessage(mListener->RecordsSince(since), mClock.Now(), aReply);
 }
 
 void
--- a/src/mesh/internal/messages.cpp
+++ b/src/mesh/internal/messages.cpp
@@ -63,7 +63,8 @@
   aMessage.set_availability_zone(aMember.mAvailabilityZone);
   aMessage.set_caller_address(aMember.mCallerAddress);
   aMessage.set_is_serving(aMember.mIsServing);
-  aMessage.set_published_revision(aMember.mPublishedRevision);
+  aMessage.set_published_revision(aMember.mPublishedPosition.mRevision);
+  aMessage.set_published_era(aMember.mPublishedPosition.mEra);
   aMessage.set_store_access(static_cast<int>(aMember.mStoreAccess));
   aMessage.set_known_gateways(static_cast<uint32_t>(aMember.mKnownGateways));
   if (aMember.mLoad) {
@@ -90,7 +91,8 @@
                  .mAvailabilityZone = aMessage.availability_zone(),
                  .mCallerAddress = aMessage.caller_address(),
                  .mIsServing = aMessage.is_serving(),
-                 .mPublishedRevision = aMessage.published_revision(),
+                 .mPublishedPosition = { aMessage.published_era(),
+                                         aMessage.published_revision() },
                  .mStoreAccess = StoreAccessFromNumber(aMessage.store_access()),
                  .mKnownGateways =
                    static_cast<int>(aMessage.known_gateways()) };
@@ -158,13 +160,15 @@
           global::TimePoint aNow,
           v1::FetchReply& aMessage)
 {
-  aMessage.set_revision(aBatch.mRevision);
+  aMessage.set_revision(aBatch.mPosition.mRevision);
+  aMessage.set_era(aBatch.mPosition.mEra);
   aMessage.set_is_full(aBatch.mIsFull);
   for (const published::Record& record : aBatch.mRecords) {
     v1::PublishedRecord& message = *aMessage.add_records();
     message.set_key(record.mKey);
     message.set_data(record.mData);
-    message.set_revision(record.mRevision);
+    message.set_revision(record.mPosition.mRevision);
+    message.set_era(record.mPosition.mEra);
     message.set_is_deleted(record.mIsDeleted);
     if (record.mKeptUntil > aNow) {
       message.set_kept_milliseconds(
@@ -176,7 +180,7 @@
 RecordBatch
 FromMessage(const v1::FetchReply& aMessage, global::TimePoint aNow)
 {
-  RecordBatch batch{ .mRevision = aMessage.revision(),
+  RecordBatch batch{ .mPosition = { aMessage.era(), aMessage.revision() },
                      .mIsFull = aMessage.is_full(),
                      .mRecords = {} };
   for (const v1::PublishedRecord& record : aMessage.records()) {
@@ -184,7 +188,7 @@
     batch.mRecords.push_back(
       { .mKey = record.key(),
         .mData = record.data(),
-        .mRevision = record.revision(),
+        .mPosition = { record.era(), record.revision() },
         .mIsDeleted = record.is_deleted(),
         .mKeptUntil = kept.count() > 0 ? aNow + kept : global::TimePoint{} });
   }
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -13,6 +13,7 @@
 namespace beryllever::mesh {
 
 using published::RecordBatch;
+using published::StorePosition;
 
 /** Provides the published items of the process and is notified of changes. */
 class IMeshListener
@@ -20,8 +21,8 @@
 public:
   virtual ~IMeshListener() = default;
 
-  virtual RecordBatch RecordsSince(uint64_t aRevision) const = 0;
-  virtual uint64_t PublishedRevision() const = 0;
+  virtual RecordBatch RecordsSince(const StorePosition& aPosition) const = 0;
+  virtual StorePosition PublishedPosition() const = 0;
   virtual void HandleRecords(const RecordBatch& aBatch) = 0;
   /** Members have joined, restarted or expired, or have begun or ceased to
    * serve callers. */
@@ -53,9 +54,9 @@
   void Stop();
   /** Sends a change of this process to all live peers at once. */
   void Announce();
-  /** Sends a new published revision to the gateways that do not learn of it
+  /** Sends a new published position to the gateways that do not learn of it
    * from the store. */
-  void AnnounceRevision();
+  void AnnouncePosition();
 
   /** Tells all live gateways at once about parts of prompts. */
   void AnnounceParts(const quarantine::Notices& aNotices);
--- a/src/mesh/meshtypes.h
+++ b/src/mesh/meshtypes.h
@@ -52,7 +52,7 @@
   std::string mCallerAddress;
   /** Whether callers may be directed to this process. */
   bool mIsServing = false;
-  uint64_t mPublishedRevision = 0;
+  published::StorePosition mPublishedPosition;
   StoreAccess mStoreAccess = StoreAccess::None;
   std::optional<EndpointLoad> mLoad;
   /** Gateways that the process knows of; 0 while it may not know all of them.
--- a/src/mesh/tests/gossipplantest.cpp
+++ b/src/mesh/tests/gossipplantest.cpp
@@ -146,10 +146,10 @@
   auto gateways = Gateways(4, { "a" });
   gateways[1].mStoreAccess = StoreAccess::Reading;
   gateways[2].mStoreAccess = StoreAccess::Failing;
-  gateways[3].mPublishedRevision = 7;
+  gateways[3].mPublishedPosition = { 0, 7 };
   const Member self{ .mVm = "self",
                      .mAvailabilityZone = "a",
-                     .mPublishedRevision = 7,
+                     .mPublishedPosition = { 0, 7 },
                      .mStoreAccess = StoreAccess::Reading };
 
   const auto targets = RevisionTargets(self, gateways);
@@ -173,7 +173,7 @@
   std::map<std::string, int> calls;
   for (Member self : gateways) {
     if (self.mStoreAccess == StoreAccess::Reading) {
-      self.mPublishedRevision = 1;
+      self.mPublishedPosition = { 0, 1 };
       for (const Member& target : RevisionTargets(self, gateways)) {
         ++calls[target.mVm];
       }
@@ -186,3 +186,20 @@
     LONGS_EQUAL(2, n);
   }
 }
+
+/** Guards against a gateway of an older era that is not told of a lower
+ * revision of the new one. */
+TEST(GossipPlan, TellsAGatewayOfAnOlderEra)
+{
+  const Member self{ .mVm = "g0",
+                     .mRole = kGatewayRole,
+                     .mAvailabilityZone = "a",
+                     .mPublishedPosition = { 1, 40 },
+                     .mStoreAccess = StoreAccess::Reading };
+  const Member gateway{ .mVm = "g1",
+                        .mRole = kGatewayRole,
+                        .mAvailabilityZone = "a",
+                        .mPublishedPosition = { 0, 90 } };
+
+  LONGS_EQUAL(1, RevisionTargets(self, { gateway }).size());
+}
--- a/src/mesh/tests/meshnodetest.cpp
+++ b/src/mesh/tests/meshnodetest.cpp
@@ -75,14 +75,25 @@
   const quint16 mPeerPort;
 };
 
+/** Has no items; its position is set. */
 class NoItems : public IMeshListener
 {
 public:
-  RecordBatch RecordsSince(uint64_t) const override { return {}; }
-  uint64_t PublishedRevision() const override { return 0; }
-  void HandleRecords(const RecordBatch&) override {}
+  RecordBatch RecordsSince(const StorePosition& aPosition) const override
+  {
+    mAskedSince = aPosition;
+    return { .mPosition = mPosition, .mIsFull = true, .mRecords = {} };
+  }
+  StorePosition PublishedPosition() const override { return mPosition; }
+  void HandleRecords(const RecordBatch& aBatch) override
+  {
+    mPosition = aBatch.mPosition;
+  }
   void HandleMembers() override {}
   void HandleLoad(const EndpointLoad&) override {}
+
+  StorePosition mPosition;
+  mutable StorePosition mAskedSince;
 };
 
 Member
@@ -101,6 +112,7 @@
   global::SteadyClock mClock;
   metrics::Metrics mMetrics;
   NoItems mItems;
+  NoItems mPeerItems;
   const quint16 mPeerPort = FreePort();
   Relay mRelay{ mPeerPort };
   transport::GrpcServer mServer;
@@ -118,7 +130,7 @@
                   GatewayAt("self", "127.0.0.1:1"),
                   std::vector<std::string>{ relay },
                   mMetrics);
-    mPeer->SetListener(mItems);
+    mPeer->SetListener(mPeerItems);
     mNode->SetListener(mItems);
     mServer.Add(mPeer->Service());
     CHECK(mServer.Start(AddressOf(mPeerPort)));
@@ -192,3 +204,75 @@
   const auto restart = mClock.Now();
   CHECK(HearsPeerAfter(restart, restart + milliseconds(600)));
 }
+
+/** Guards against a gateway that stays in the old era because its revision is
+ * the higher one. */
+TEST(MeshNode, FetchesFromAPeerThatHasSeenANewEra)
+{
+  mItems.mPosition = { 0, 90 };
+  mPeerItems.mPosition = { 1, 40 };
+  Start();
+
+  const auto begin = mClock.Now();
+  while (mItems.mPosition.mEra == 0 &&
+         mClock.Now() - begin < milliseconds(3000)) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+
+  CHECK(mItems.mPosition == StorePosition({ 1, 40 }));
+  CHECK(mPeerItems.mAskedSince == StorePosition({ 0, 90 }));
+}
+
+/** Guards against a fetch of outdated items from a peer of an older era. */
+TEST(MeshNode, DoesNotFetchFromAPeerOfAnOlderEra)
+{
+  mItems.mPosition = { 1, 40 };
+  mPeerItems.mPosition = { 0, 90 };
+  mPeerItems.mAskedSince = { 7, 7 };
+  Start();
+  const auto begin = mClock.Now();
+  CHECK(HearsPeerAfter(begin, begin + milliseconds(3000)));
+
+  const auto heard = mClock.Now();
+  HearsPeerAfter(heard + milliseconds(600), heard + milliseconds(700));
+
+  CHECK(mItems.mPosition == StorePosition({ 1, 40 }));
+  CHECK(mPeerItems.mAskedSince == StorePosition({ 7, 7 }));
+}
+
+/** Guards against the loss of the era between processes. */
+TEST(MeshNode, MessagesCarryTheEra)
+{
+  Member member = GatewayAt("peer", "127.0.0.1:1");
+  member.mPublishedPosition = { 3, 40 };
+  const RecordBatch batch{ .mPosition = { 3, 40 },
+                           .mIsFull = true,
+                           .mRecords = { { "x", "data", { 2, 90 } } } };
+  v1::Member memberMessage;
+  v1::FetchReply batchMessage;
+
+  ToMessage(member, memberMessage);
+  ToMessage(batch, mClock.Now(), batchMessage);
+
+  const RecordBatch received = FromMessage(batchMessage, mClock.Now());
+  CHECK(FromMessage(memberMessage).mPublishedPosition ==
+        member.mPublishedPosition);
+  CHECK(received.mPosition == batch.mPosition);
+  CHECK(received.mRecords.at(0).mPosition == batch.mRecords[0].mPosition);
+}
+
+/** Guards against a misread position of a process that does not know eras. */
+TEST(MeshNode, MessagesWithoutAnEraBelongToEraZero)
+{
+  mPeerItems.mPosition = { 1, 40 };
+  v1::Member member;
+  member.set_published_revision(90);
+  v1::FetchRequest request;
+  request.set_since_revision(90);
+  v1::FetchReply reply;
+
+  mPeer->HandleFetch(request, reply);
+
+  CHECK(FromMessage(member).mPublishedPosition == StorePosition({ 0, 90 }));
+  CHECK(mPeerItems.mAskedSince == StorePosition({ 0, 90 }));
+}
--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -11,7 +11,8 @@
 
 constexpr char kLogTag[] = "published";
 /** The platform's documentation states that live endpoints are registered again
- * within about two seconds of the end of an outage. */
+ * within about two seconds of the end of an outage, also if the store was
+ * restored from a copy that lacks them. */
 constexpr std::chrono::milliseconds kReregistrationTime{ 2200 };
 
 }
@@ -29,8 +30,14 @@
 
 bool
 PublishedState::ApplyListing(const std::vector<Record>& aRecords,
-                             uint64_t aRevision)
+                             const StorePosition& aPosition)
 {
+  if (aPosition.mEra > mPosition.mEra) {
+    BeginEra(aPosition);
+  }
+  if (!IsCurrentEra(aPosition)) {
+    return false;
+  }
   bool isChanged = false;
   std::set<std::string> listed;
   for (const Record& record : aRecords) {
@@ -38,15 +45,17 @@
     isChanged = ApplyRecord(record) || isChanged;
   }
   for (auto& [key, record] : mRecords) {
-    if (!record.mIsDeleted && record.mRevision <= aRevision &&
-        !listed.contains(key)) {
-      record = { .mKey = key, .mRevision = aRevision, .mIsDeleted = true };
+    // Items of older eras are removed when their time ends.
+    const bool isCovered =
+      record.mPosition.mEra == aPosition.mEra && record.mPosition <= aPosition;
+    if (!record.mIsDeleted && isCovered && !listed.contains(key)) {
+      record = { .mKey = key, .mPosition = aPosition, .mIsDeleted = true };
       isChanged = Remove(key, ReregistrationDeadline()) || isChanged;
     }
   }
-  if (aRevision > mRevision) {
-    mRevision = aRevision;
-    mTombstonesSince = aRevision;
+  if (aPosition > mPosition) {
+    mPosition = aPosition;
+    mTombstonesSince = aPosition;
   }
   Rebuild();
   return isChanged;
@@ -54,10 +63,13 @@
 
 bool
 PublishedState::ApplyChanges(const std::vector<Record>& aRecords,
-                             uint64_t aRevision)
+                             const StorePosition& aPosition)
 {
+  if (!IsCurrentEra(aPosition)) {
+    return false;
+  }
   bool isChanged = false;
-  mRevision = std::max(mRevision, aRevision);
+  mPosition = std::max(mPosition, aPosition);
   for (const Record& record : aRecords) {
     isChanged = ApplyRecord(record) || isChanged;
   }
@@ -70,8 +82,66 @@
 bool
 PublishedState::Apply(const RecordBatch& aBatch)
 {
-  return aBatch.mIsFull ? ApplyListing(aBatch.mRecords, aBatch.mRevision)
-                        : ApplyChanges(aBatch.mRecords, aBatch.mRevision);
+  return aBatch.mIsFull ? ApplyListing(aBatch.mRecords, aBatch.mPosition)
+                        : ApplyChanges(aBatch.mRecords, aBatch.mPosition);
+}
+
+bool
+PublishedState::IsCurrentEra(const StorePosition& aPosition) const
+{
+  if (aPosition.mEra == mPosition.mEra) {
+    return true;
+  }
+  LOGI("Published items of another era are ignored. era="
+       << aPosition.mEra << " revision=" << aPosition.mRevision
+       << " currentEra=" << mPosition.mEra);
+  return false;
+}
+
+void
+PublishedState::BeginEra(const StorePosition& aPosition)
+{
+  if (mPosition != StorePosition{}) {
+    LOGW(
+      "The store has been restored from a copy; items that it lacks are kept "
+      "for a while. era="
+      << aPosition.mEra << " revision=" << aPosition.mRevision
+      << " oldEra=" << mPosition.mEra << " oldRevision=" << mPosition.mRevision
+      << " keptMilliseconds=" << kReregistrationTime.count());
+  }
+  mPosition = aPosition;
+  // Changes since a position of an older era are not known.
+  mTombstonesSince = aPosition;
+  mOldErasUntil = mClock.Now() + kReregistrationTime;
+}
+
+bool
+PublishedState::ExpireOldEras()
+{
+  if (!mOldErasUntil || *mOldErasUntil > mClock.Now()) {
+    return false;
+  }
+  mOldErasUntil.reset();
+  bool isChanged = false;
+  for (auto it = mRecords.begin(); it != mRecords.end();) {
+    const auto& [key, record] = *it;
+    // The configuration in force is never removed, and peers that start later
+    // need it.
+    if (record.mPosition.mEra == mPosition.mEra ||
+        key == mConfigurationRecord.mKey) {
+      ++it;
+      continue;
+    }
+    if (!record.mIsDeleted) {
+      LOGI("Published item was not written again after the store was restored. "
+           "key="
+           << key << " era=" << record.mPosition.mEra
+           << " revision=" << record.mPosition.mRevision);
+      isChanged = Remove(key, {}) || isChanged;
+    }
+    it = mRecords.erase(it);
+  }
+  return isChanged;
 }
 
 void
@@ -108,20 +178,21 @@
       mEndpointsByKey.erase(aRemoval.first);
       return true;
     });
-  if (removed > 0) {
+  const bool isChanged = ExpireOldEras() || removed > 0;
+  if (isChanged) {
     Rebuild();
   }
-  return removed > 0;
+  return isChanged;
 }
 
 RecordBatch
-PublishedState::RecordsSince(uint64_t aRevision) const
+PublishedState::RecordsSince(const StorePosition& aPosition) const
 {
-  RecordBatch batch{ .mRevision = mRevision,
-                     .mIsFull = aRevision < mTombstonesSince,
+  RecordBatch batch{ .mPosition = mPosition,
+                     .mIsFull = aPosition < mTombstonesSince,
                      .mRecords = {} };
   for (const auto& [key, record] : mRecords) {
-    if (!batch.mIsFull && record.mRevision <= aRevision) {
+    if (!batch.mIsFull && record.mPosition <= aPosition) {
       continue;
     }
     batch.mRecords.push_back(record);
@@ -136,8 +207,13 @@
 bool
 PublishedState::ApplyRecord(const Record& aRecord)
 {
+  // A peer may still have items of an older era in force that have been removed
+  // here.
+  const bool isExpired =
+    aRecord.mPosition.mEra < mPosition.mEra && !mOldErasUntil;
   const auto it = mRecords.find(aRecord.mKey);
-  if (it != mRecords.end() && it->second.mRevision >= aRecord.mRevision) {
+  if (isExpired ||
+      (it != mRecords.end() && it->second.mPosition >= aRecord.mPosition)) {
     return false;
   }
   mRecords[aRecord.mKey] = aRecord;
@@ -147,7 +223,7 @@
   }
   Item item = mCodec.Decode(aRecord.mKey, aRecord.mData);
   if (auto* configuration = std::get_if<Configuration>(&item)) {
-    return ApplyConfiguration(std::move(*configuration));
+    return ApplyConfiguration(aRecord, std::move(*configuration));
   }
   if (const auto* endpoint = std::get_if<Endpoint>(&item)) {
     return ApplyEndpoint(aRecord.mKey, *endpoint);
@@ -155,13 +231,13 @@
   if (const auto* outOfService = std::get_if<OutOfService>(&item)) {
     LOGI("Availability zone is out of service. availabilityZone="
          << outOfService->mAvailabilityZone
-         << " revision=" << aRecord.mRevision);
+         << " revision=" << aRecord.mPosition.mRevision);
     mOutZonesByKey[aRecord.mKey] = outOfService->mAvailabilityZone;
     return true;
   }
   if (const auto* unreadable = std::get_if<Unreadable>(&item)) {
     LOGW("Published item cannot be decoded and is ignored. key="
-         << aRecord.mKey << " revision=" << aRecord.mRevision
+         << aRecord.mKey << " revision=" << aRecord.mPosition.mRevision
          << " reason=" << unreadable->mReason);
     return Remove(aRecord.mKey, {});
   }
@@ -169,17 +245,21 @@
 }
 
 bool
-PublishedState::ApplyConfiguration(Configuration aConfiguration)
+PublishedState::ApplyConfiguration(const Record& aRecord,
+                                   Configuration aConfiguration)
 {
   if (mConfiguration && aConfiguration.mVersion <= mConfiguration->mVersion) {
     LOGW("Older or equal configuration version is ignored. version="
          << aConfiguration.mVersion << " inForce=" << mConfiguration->mVersion);
+    // Peers that start later get the version in force, not that of the copy.
+    mRecords[aRecord.mKey].mData = mConfigurationRecord.mData;
     return false;
   }
   LOGI("Configuration is in force. version="
        << aConfiguration.mVersion << " routes=" << aConfiguration.mRoutes.size()
        << " pools=" << aConfiguration.mPools.size());
   aConfiguration.mPrioritizedPools = FindPrioritizedPools(aConfiguration);
+  mConfigurationRecord = aRecord;
   mConfiguration = std::make_shared<Configuration>(std::move(aConfiguration));
   return true;
 }
@@ -237,8 +317,10 @@
   for (const auto& [key, zone] : mOutZonesByKey) {
     zones.insert(zone);
   }
-  mCurrent = std::make_shared<Snapshot>(
-    mConfiguration, std::move(endpoints), std::move(zones), mRevision);
+  mCurrent = std::make_shared<Snapshot>(mConfiguration,
+                                        std::move(endpoints),
+                                        std::move(zones),
+                                        mPosition.mRevision);
 }
 
 }
--- a/src/published/ipublishedsource.h
+++ b/src/published/ipublishedsource.h
@@ -12,13 +12,12 @@
 public:
   virtual ~ISourceListener() = default;
 
-  /** All items whose revision is at most aRevision; later changes may be
-   * included. */
+  /** All items of the era up to aPosition; later changes may be included. */
   virtual void HandleListing(std::vector<Record> aRecords,
-                             uint64_t aRevision) = 0;
-  /** Changes since the last listing or change, up to aRevision. */
+                             const StorePosition& aPosition) = 0;
+  /** Changes since the last listing or change, up to aPosition. */
   virtual void HandleChanges(std::vector<Record> aRecords,
-                             uint64_t aRevision) = 0;
+                             const StorePosition& aPosition) = 0;
   /** The source has answered. */
   virtual void HandleContact() = 0;
   /** The source has refused or failed, or has not answered in time. */
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -10,9 +10,11 @@
 namespace beryllever::published {
 
 /**
- * The published items known to this process. For each key the highest revision
+ * The published items known to this process. For each key the highest position
  * wins whatever the order of arrival, and the version of the configuration
- * never decreases while the process runs.
+ * never decreases while the process runs. What is of an older era than the
+ * highest one seen is ignored; items that the new era lacks stay in force for a
+ * while, because their owners write them again.
  */
 class PublishedState
 {
@@ -20,8 +22,10 @@
   PublishedState(const IRecordCodec& aCodec, const global::IClock& aClock);
 
   /** Both return whether the snapshot has changed. */
-  bool ApplyListing(const std::vector<Record>& aRecords, uint64_t aRevision);
-  bool ApplyChanges(const std::vector<Record>& aRecords, uint64_t aRevision);
+  bool ApplyListing(const std::vector<Record>& aRecords,
+                    const StorePosition& aPosition);
+  bool ApplyChanges(const std::vector<Record>& aRecords,
+                    const StorePosition& aPosition);
   /** Applies what a peer has sent; returns whether the snapshot has changed. */
   bool Apply(const RecordBatch& aBatch);
 
@@ -30,20 +34,25 @@
    * after it. */
   void RecordFailure();
   void RecordContact();
-  /** Carries out delayed removals that are due; returns whether there were any.
-   */
+  /** Carries out delayed removals that are due, also of items that the current
+   * era lacks; returns whether there were any. */
   bool ExpireRemovals();
 
-  /** Undecoded items for a peer that knows those up to aRevision: the newer
+  /** Undecoded items for a peer that knows those up to aPosition: the newer
    * ones, or all if some removals since then are not known here. */
-  RecordBatch RecordsSince(uint64_t aRevision) const;
-  /** Revision up to which all changes are known. */
-  uint64_t Revision() const { return mRevision; }
+  RecordBatch RecordsSince(const StorePosition& aPosition) const;
+  /** Position up to which all changes are known. */
+  const StorePosition& Position() const { return mPosition; }
   std::shared_ptr<const Snapshot> Current() const { return mCurrent; }
 
 private:
+  /** Whether aPosition is of the current era; logs what is ignored if not. */
+  bool IsCurrentEra(const StorePosition& aPosition) const;
+  /** Items of older eras stay in force from now on for a limited time. */
+  void BeginEra(const StorePosition& aPosition);
+  bool ExpireOldEras();
   bool ApplyRecord(const Record& aRecord);
-  bool ApplyConfiguration(Configuration aConfiguration);
+  bool ApplyConfiguration(const Record& aRecord, Configuration aConfiguration);
   bool ApplyEndpoint(const std::string& aKey, const Endpoint& aEndpoint);
   /** Removes an item. A ready endpoint stays until aKeptUntil if that is in the
    * future. */
@@ -56,10 +65,16 @@
   const IRecordCodec& mCodec;
   const global::IClock& mClock;
   std::map<std::string, Record> mRecords;
-  uint64_t mRevision = 0;
-  /** Removals after this revision are all known. A listing does not tell what
+  StorePosition mPosition;
+  /** Removals after this position are all known. A listing does not tell what
    * was removed before it. */
-  uint64_t mTombstonesSince = 0;
+  StorePosition mTombstonesSince;
+  /** Time until which items of older eras stay in force; not set if there are
+   * none left. */
+  std::optional<global::TimePoint> mOldErasUntil;
+  /** Configuration in force as it was written. Its key is empty if there is
+   * none. */
+  Record mConfigurationRecord;
   std::shared_ptr<const Configuration> mConfiguration;
   std::map<std::string, Endpoint> mEndpointsByKey;
   std::map<std::string, std::string> mOutZonesByKey;
--- a/src/published/publishedtypes.h
+++ b/src/published/publishedtypes.h
@@ -4,6 +4,7 @@
 #include "framework/net/tcpsocket.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -175,12 +176,22 @@
 using Item =
   std::variant<Configuration, Endpoint, OutOfService, Unreadable, Ignored>;
 
-/** One published item as written at a revision. */
+/** A point in the history of the store. The era rises by one each time the
+ * store is restored from a copy; revisions are unique only within an era. */
+struct StorePosition
+{
+  uint64_t mEra = 0;
+  uint64_t mRevision = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  auto operator<=>(const StorePosition&) const = default;
+};
+
+/** One published item as written at a position. */
 struct Record
 {
   std::string mKey;
   std::string mData;
-  uint64_t mRevision = 0;
+  StorePosition mPosition;
   bool mIsDeleted = false;
   /** Time until which a removed endpoint stays in use, because it lapsed in an
    * outage. */
@@ -190,9 +201,9 @@
 /** Published items that one process sends to another. */
 struct RecordBatch
 {
-  uint64_t mRevision = 0;
-  /** All items as of that revision: what the batch leaves out is gone. If not
-   * set, the items are those that have changed since the revision asked for. */
+  StorePosition mPosition;
+  /** All items as of that position: what the batch leaves out is gone. If not
+   * set, the items are those that have changed since the position asked for. */
   bool mIsFull = false;
   std::vector<Record> mRecords;
 };
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -109,7 +109,9 @@
 RankNode::Status() const
 {
   settings::Json status{ { "endpointAddress", mEndpointAddress },
-                         { "publishedRevision", mPublishedState.Revision() } };
+                         { "publishedRevision",
+                           mPublishedState.Position().mRevision },
+                         { "publishedEra", mPublishedState.Position().mEra } };
   if (mRankState) {
     status["group"] = mRankState->mGroup;
     status["epoch"] = mRankState->mEpoch;
@@ -120,15 +122,15 @@
 }
 
 mesh::RecordBatch
-RankNode::RecordsSince(uint64_t aRevision) const
+RankNode::RecordsSince(const mesh::StorePosition& aPosition) const
 {
-  return mPublishedState.RecordsSince(aRevision);
+  return mPublishedState.RecordsSince(aPosition);
 }
 
-uint64_t
-RankNode::PublishedRevision() const
+mesh::StorePosition
+RankNode::PublishedPosition() const
 {
-  return mPublishedState.Revision();
+  return mPublishedState.Position();
 }
 
 void
@@ -148,6 +150,7 @@
 void
 RankNode::ReadState()
 {
+  mPublishedState.ExpireRemovals();
   if (mIsReading) {
     return;
   }
--- a/src/rankagent/internal/ranknode.h
+++ b/src/rankagent/internal/ranknode.h
@@ -40,8 +40,9 @@
   void Reload(const configuration::IProcessSettings& aSettings);
   settings::Json Status() const;
 
-  mesh::RecordBatch RecordsSince(uint64_t aRevision) const override;
-  uint64_t PublishedRevision() const override;
+  mesh::RecordBatch RecordsSince(
+    const mesh::StorePosition& aPosition) const override;
+  mesh::StorePosition PublishedPosition() const override;
   void HandleRecords(const mesh::RecordBatch& aBatch) override;
   void HandleMembers() override {}
   void HandleLoad(const mesh::EndpointLoad&) override {}
