Keep places at endpoints free for more urgent requests

In a burst of digests all classes of a pool had the same latencies: the last free place went to whichever request arrived. In pools with different priorities an endpoint is now chosen for a request only if it leaves the places free that more urgent requests need while load reports are in transit (ClassReservation). Denials are counted in beryllever_placements_reserved and logged at most once a second.

--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/classreservation.h"
 #include "gateway/coldratelimiter.h"
 #include "gateway/endpointavailability.h"
 #include "gateway/endpointhealth.h"
@@ -24,6 +25,8 @@
   std::string mAvailabilityZone;
   /** Ids of the endpoints that the request has already been sent to. */
   std::set<std::string> mTriedEndpoints;
+  /** 0 is the most urgent. */
+  int mPriority = 0;
 };
 
 /** Result of selecting an endpoint. */
@@ -42,6 +45,8 @@
 {
   PlacementStatus mStatus = PlacementStatus::NoneUsable;
   const published::Endpoint* mEndpoint = nullptr;
+  /** Whether all endpoints with room keep it for more urgent requests. */
+  bool mIsReserved = false;
 };
 
 /** Selects an endpoint for each request by the load, health and limits of the
@@ -56,6 +61,8 @@
   /** Removes idle endpoints that are not in the snapshot. */
   void RemoveMissing(const published::Snapshot& aSnapshot);
 
+  /** Records that a request has arrived, once however often it is placed. */
+  void RecordArrival(const std::string& aPool, int aPriority);
   Placement Choose(const published::Snapshot& aSnapshot,
                    const PlacementRequest& aRequest);
   void RecordSent(const std::string& aEndpoint);
@@ -79,10 +86,16 @@
   };
 
   /** Whether one more request may be sent to the endpoint now, whose normal
-   * limit is multiplied by the factor. */
+   * limit is multiplied by the factor, and leave more than the reserved places
+   * free. */
   bool HasCapacity(const published::Endpoint& aEndpoint,
                    const published::Pool& aPool,
-                   double aLimitFactor) const;
+                   double aLimitFactor,
+                   double aReserved) const;
+  /** Gateways and endpoints among which a pool's arrivals are divided. */
+  ReservationScope ScopeFor(size_t aEndpoints) const;
+  /** Logs a denial by the reservation, at most once in a while. */
+  void RecordReserved(const PlacementRequest& aRequest);
   /** How slow the pool is; none unless its endpoints compute in lock-step. */
   std::optional<PoolSlowness> AssessSlowness(
     std::vector<const published::Endpoint*> aEndpoints,
@@ -101,6 +114,11 @@
   ColdRateLimiter mColdLimiter;
   EndpointAvailability mAvailability;
   SlowRankLimit mSlowRanks;
+  ClassReservation mReservation;
+  const global::IClock& mClock;
+  global::TimePoint mNextReservedLog{};
+  /** Denials by the reservation since the last log line. */
+  int mReservedDenials = 0;
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -1,11 +1,15 @@
 #include "gateway/endpointbalancer.h"
 
+#include "framework/log/log.h"
+
 #include <algorithm>
 
 namespace beryllever::gateway {
 
 namespace {
 
+constexpr char kLogTag[] = "balancer";
+
 /** Delay behind the latest report of any agent from which an endpoint gets no
  * retries. Below the age at which attempts are given up, so that those are not
  * sent to an endpoint that has frozen at the same time. */
@@ -24,6 +28,9 @@
 /** Requests that may be queued at an engine, as a fraction of its slots, so
  * that a free slot is filled without delay. */
 constexpr double kEngineQueueFraction = 0.35;
+/** Time between log lines on denied placements; thousands may be denied in a
+ * second. */
+constexpr milliseconds kDenialLogInterval{ 1000 };
 
 }
 
@@ -34,6 +41,8 @@
   , mColdLimiter(aClock)
   , mAvailability(aClock)
   , mSlowRanks(aClock)
+  , mReservation(aClock)
+  , mClock(aClock)
 {
 }
 
@@ -66,6 +75,12 @@
   mSlowRanks.RemoveMissing(aSnapshot);
 }
 
+void
+EndpointBalancer::RecordArrival(const std::string& aPool, int aPriority)
+{
+  mReservation.RecordArrival(aPool, aPriority);
+}
+
 Placement
 EndpointBalancer::Choose(const published::Snapshot& aSnapshot,
                          const PlacementRequest& aRequest)
@@ -77,10 +92,13 @@
   std::vector<Candidate> candidates;
   bool hasUntried = false;
   bool hasPaused = false;
+  bool isReserved = false;
   const bool needsReport = !aRequest.mTriedEndpoints.empty() &&
                            HasFreshReports(aSnapshot, aRequest.mPool);
   const auto endpoints = aSnapshot.UsableEndpoints(aRequest.mPool);
   const auto slowness = AssessSlowness(endpoints, *pool);
+  const bool hasPriorities = aSnapshot.HasPriorities(aRequest.mPool);
+  const ReservationScope scope = ScopeFor(endpoints.size());
   for (const published::Endpoint* endpoint : endpoints) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
         mAvailability.IsLeaving(*endpoint)) {
@@ -95,12 +113,25 @@
                                          kMaxReportDelayForRetries;
     const double factor =
       slowness ? mSlowRanks.Factor(*endpoint, *slowness) : 1;
-    if (!isLate && HasCapacity(*endpoint, *pool, factor)) {
-      candidates.push_back({ endpoint, Score(*endpoint, aRequest) });
+    if (isLate || !HasCapacity(*endpoint, *pool, factor, 0)) {
+      continue;
+    }
+    const double reserved =
+      hasPriorities
+        ? mReservation.ReservedPlaces(
+            aRequest.mPool, aRequest.mPriority, endpoint->mSlots, scope)
+        : 0;
+    if (reserved > 0 && !HasCapacity(*endpoint, *pool, factor, reserved)) {
+      isReserved = true;
+      continue;
     }
+    candidates.push_back({ endpoint, Score(*endpoint, aRequest) });
+  }
+  if (candidates.empty() && isReserved) {
+    RecordReserved(aRequest);
   }
   if (candidates.empty() && hasUntried) {
-    return { PlacementStatus::AtCapacity };
+    return { PlacementStatus::AtCapacity, nullptr, isReserved };
   }
   if (candidates.empty()) {
     return { hasPaused ? PlacementStatus::Paused
@@ -127,15 +158,38 @@
 bool
 EndpointBalancer::HasCapacity(const published::Endpoint& aEndpoint,
                               const published::Pool& aPool,
-                              double aLimitFactor) const
+                              double aLimitFactor,
+                              double aReserved) const
 {
   const double capacity = aLimitFactor * aEndpoint.mSlots *
                           (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
-  return mLoads.EstimatedRequests(aEndpoint.mId) < capacity &&
+  return mLoads.EstimatedRequests(aEndpoint.mId) < capacity - aReserved &&
          !mLoads.IsClosed(aEndpoint.mId) &&
          !mColdLimiter.IsLimitReached(aEndpoint, aPool);
 }
 
+ReservationScope
+EndpointBalancer::ScopeFor(size_t aEndpoints) const
+{
+  // The number of gateways that may be running would reserve too much.
+  return { std::max<size_t>(1, mColdLimiter.Fleet().mNames.size()),
+           aEndpoints };
+}
+
+void
+EndpointBalancer::RecordReserved(const PlacementRequest& aRequest)
+{
+  ++mReservedDenials;
+  if (mClock.Now() < mNextReservedLog) {
+    return;
+  }
+  LOGI("Places are kept for more urgent requests. pool="
+       << aRequest.mPool << " priority=" << aRequest.mPriority
+       << " denied=" << mReservedDenials);
+  mReservedDenials = 0;
+  mNextReservedLog = mClock.Now() + kDenialLogInterval;
+}
+
 double
 EndpointBalancer::Score(const published::Endpoint& aEndpoint,
                         const PlacementRequest& aRequest) const
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -117,6 +117,7 @@
     return;
   }
   mContext.RetryBudgetFor(mPool).RecordRequest();
+  mContext.mBalancer.RecordArrival(mPool, mAdmission.mPriority);
   PlaceRequest();
 }
 
@@ -174,15 +175,18 @@
                 refusal->mRetryAfter);
     return;
   }
-  const PlacementRequest request{ mPool,
-                                  mContext.mAvailabilityZone,
-                                  mTriedEndpoints };
+  const PlacementRequest request{
+    mPool, mContext.mAvailabilityZone, mTriedEndpoints, mAdmission.mPriority
+  };
   const Placement placement =
     mContext.mBalancer.Choose(*mContext.mSnapshot, request);
   if (placement.mStatus == PlacementStatus::Chosen) {
     Send(*placement.mEndpoint);
     return;
   }
+  if (placement.mIsReserved) {
+    mContext.mMetrics.Count("beryllever_placements_reserved");
+  }
   if (placement.mStatus == PlacementStatus::AtCapacity) {
     WaitForEndpoint();
     return;
