Limit gateways without load reports to their share of a pool

After a power loss of all gateways and agents no gateway has load reports. Each counted only its own requests, and together they put many times the slots at the endpoints, which refused over a tenth of the arrivals for 6 s.

Until three quarters of a pool's endpoints have a fresh report, a gateway sends to an endpoint without one only its part of the slots, by rendezvous rank (StartShare). This holds for pools with an engine profile, for at most 30 s, and again after 3 s without any report. Denials are counted in beryllever_placements_beyond_share; the log line on denials, at most one a second, covers both reasons.

--- a/src/gateway/coldratelimiter.h
+++ b/src/gateway/coldratelimiter.h
@@ -30,15 +30,14 @@
 
   void SetLimit(const ColdRateLimit& aLimit);
   const GatewayFleet& Fleet() const { return mLimit.mFleet; }
+  /** Rank of this gateway among all for the endpoint. */
+  size_t FleetRank(const published::Endpoint& aEndpoint) const;
   void RecordSent(const std::string& aEndpoint);
   bool IsLimitReached(const published::Endpoint& aEndpoint,
                       const published::Pool& aPool) const;
   void RemoveIf(const std::function<bool(const std::string&)>& aIsObsolete);
 
 private:
-  /** Rank of this gateway among all for the endpoint. */
-  size_t FleetRank(const published::Endpoint& aEndpoint) const;
-
   const global::IClock& mClock;
   ColdRateLimit mLimit;
   /** Rank of this gateway among all for each endpoint, computed on demand. */
--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -7,6 +7,7 @@
 #include "gateway/endpointhealth.h"
 #include "gateway/endpointloadtable.h"
 #include "gateway/slowranklimit.h"
+#include "gateway/startshare.h"
 #include "published/snapshot.h"
 
 #include <optional>
@@ -47,6 +48,9 @@
   const published::Endpoint* mEndpoint = nullptr;
   /** Whether all endpoints with room keep it for more urgent requests. */
   bool mIsReserved = false;
+  /** Whether endpoints have room beyond this gateway's share without reports.
+   */
+  bool mIsBeyondShare = false;
 };
 
 /** Selects an endpoint for each request by the load, health and limits of the
@@ -78,6 +82,14 @@
   bool IsSilent(const std::string& aEndpoint) const;
 
 private:
+  struct StartLimits
+  {
+    /** Part of the way from the share to the normal limit. */
+    double mGrowth = 0;
+    /** Places at any endpoint, if the share is too small. */
+    int mMinPlaces = 0;
+  };
+
   struct Candidate
   {
     const published::Endpoint* mEndpoint = nullptr;
@@ -85,17 +97,26 @@
     double mScore = 0;
   };
 
-  /** Whether one more request may be sent to the endpoint now, whose normal
-   * limit is multiplied by the factor, and leave more than the reserved places
-   * free. */
+  /** Whether one more request may be sent to the endpoint now, which may have
+   * aLimit requests. */
   bool HasCapacity(const published::Endpoint& aEndpoint,
                    const published::Pool& aPool,
-                   double aLimitFactor,
-                   double aReserved) const;
+                   double aLimit) const;
+  /** How the limits without reports have grown, unless they are normal. */
+  std::optional<StartLimits> AssessStart(
+    const std::vector<const published::Endpoint*>& aEndpoints,
+    const published::Pool& aPool);
+  /** Limit at an endpoint with the normal limit, for a gateway that lacks
+   * reports of the pool. */
+  double StartLimit(const published::Endpoint& aEndpoint,
+                    double aLimit,
+                    const StartLimits& aStart) const;
+  int StartPlaces(const published::Endpoint& aEndpoint) const;
   /** Gateways and endpoints among which a pool's arrivals are divided. */
   ReservationScope ScopeFor(size_t aEndpoints) const;
-  /** Logs a denial by the reservation, at most once in a while. */
-  void RecordReserved(const PlacementRequest& aRequest);
+  /** Logs denials by the reservation or the share, at most once in a while. */
+  void RecordDenied(const PlacementRequest& aRequest,
+                    const Placement& aPlacement);
   /** How slow the pool is; none unless its endpoints compute in lock-step. */
   std::optional<PoolSlowness> AssessSlowness(
     std::vector<const published::Endpoint*> aEndpoints,
@@ -115,10 +136,11 @@
   EndpointAvailability mAvailability;
   SlowRankLimit mSlowRanks;
   ClassReservation mReservation;
+  StartShare mStartShare;
   const global::IClock& mClock;
-  global::TimePoint mNextReservedLog{};
-  /** Denials by the reservation since the last log line. */
-  int mReservedDenials = 0;
+  global::TimePoint mNextDenialLog{};
+  /** Denials by the reservation or the share since the last log line. */
+  int mDenials = 0;
 };
 
 }
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -28,6 +28,9 @@
 /** Requests that may be queued at an engine, as a fraction of its slots, so
  * that a free slot is filled without delay. */
 constexpr double kEngineQueueFraction = 0.35;
+/** Requests that a gateway without reports may always have in a pool, however
+ * many gateways there are. */
+constexpr int kMinStartPlaces = 3;
 /** Time between log lines on denied placements; thousands may be denied in a
  * second. */
 constexpr milliseconds kDenialLogInterval{ 1000 };
@@ -42,6 +45,7 @@
   , mAvailability(aClock)
   , mSlowRanks(aClock)
   , mReservation(aClock)
+  , mStartShare(aClock)
   , mClock(aClock)
 {
 }
@@ -92,13 +96,14 @@
   std::vector<Candidate> candidates;
   bool hasUntried = false;
   bool hasPaused = false;
-  bool isReserved = false;
+  Placement denied{ PlacementStatus::AtCapacity };
   const bool needsReport = !aRequest.mTriedEndpoints.empty() &&
                            HasFreshReports(aSnapshot, aRequest.mPool);
   const auto endpoints = aSnapshot.UsableEndpoints(aRequest.mPool);
   const auto slowness = AssessSlowness(endpoints, *pool);
   const bool hasPriorities = aSnapshot.HasPriorities(aRequest.mPool);
   const ReservationScope scope = ScopeFor(endpoints.size());
+  const auto start = AssessStart(endpoints, *pool);
   for (const published::Endpoint* endpoint : endpoints) {
     if (aRequest.mTriedEndpoints.contains(endpoint->mId) ||
         mAvailability.IsLeaving(*endpoint)) {
@@ -111,9 +116,17 @@
     hasUntried = true;
     const bool isLate = needsReport && mLoads.ReportDelay(endpoint->mId) >
                                          kMaxReportDelayForRetries;
+    const double normal =
+      endpoint->mSlots * (pool->mEngine ? 1 + kEngineQueueFraction : 2);
     const double factor =
       slowness ? mSlowRanks.Factor(*endpoint, *slowness) : 1;
-    if (isLate || !HasCapacity(*endpoint, *pool, factor, 0)) {
+    if (isLate || !HasCapacity(*endpoint, *pool, normal * factor)) {
+      continue;
+    }
+    const double limit =
+      start ? StartLimit(*endpoint, normal * factor, *start) : normal * factor;
+    if (start && !HasCapacity(*endpoint, *pool, limit)) {
+      denied.mIsBeyondShare = true;
       continue;
     }
     const double reserved =
@@ -121,17 +134,17 @@
         ? mReservation.ReservedPlaces(
             aRequest.mPool, aRequest.mPriority, endpoint->mSlots, scope)
         : 0;
-    if (reserved > 0 && !HasCapacity(*endpoint, *pool, factor, reserved)) {
-      isReserved = true;
+    // A lower limit has fewer reserved places, so that less urgent requests
+    // keep a part of it.
+    if (!HasCapacity(*endpoint, *pool, limit * (1 - reserved / normal))) {
+      denied.mIsReserved = true;
       continue;
     }
     candidates.push_back({ endpoint, Score(*endpoint, aRequest) });
   }
-  if (candidates.empty() && isReserved) {
-    RecordReserved(aRequest);
-  }
   if (candidates.empty() && hasUntried) {
-    return { PlacementStatus::AtCapacity, nullptr, isReserved };
+    RecordDenied(aRequest, denied);
+    return denied;
   }
   if (candidates.empty()) {
     return { hasPaused ? PlacementStatus::Paused
@@ -158,12 +171,9 @@
 bool
 EndpointBalancer::HasCapacity(const published::Endpoint& aEndpoint,
                               const published::Pool& aPool,
-                              double aLimitFactor,
-                              double aReserved) const
+                              double aLimit) const
 {
-  const double capacity = aLimitFactor * aEndpoint.mSlots *
-                          (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
-  return mLoads.EstimatedRequests(aEndpoint.mId) < capacity - aReserved &&
+  return mLoads.EstimatedRequests(aEndpoint.mId) < aLimit &&
          !mLoads.IsClosed(aEndpoint.mId) &&
          !mColdLimiter.IsLimitReached(aEndpoint, aPool);
 }
@@ -176,18 +186,72 @@
            aEndpoints };
 }
 
+std::optional<EndpointBalancer::StartLimits>
+EndpointBalancer::AssessStart(
+  const std::vector<const published::Endpoint*>& aEndpoints,
+  const published::Pool& aPool)
+{
+  if (!aPool.mEngine || mColdLimiter.Fleet().mCount <= 1) {
+    return std::nullopt;
+  }
+  const auto reported = std::count_if(
+    aEndpoints.begin(), aEndpoints.end(), [this](const auto* aEndpoint) {
+      return mLoads.HasFreshReport(aEndpoint->mId);
+    });
+  const auto growth = mStartShare.Growth(
+    aPool.mName, static_cast<size_t>(reported), aEndpoints.size());
+  if (!growth) {
+    return std::nullopt;
+  }
+  int share = 0;
+  int outstanding = 0;
+  for (const published::Endpoint* endpoint : aEndpoints) {
+    share += StartPlaces(*endpoint);
+    outstanding += mLoads.Outstanding(endpoint->mId);
+  }
+  const bool isTooSmall =
+    share < kMinStartPlaces && outstanding < kMinStartPlaces;
+  return StartLimits{ *growth, isTooSmall ? kMinStartPlaces : 0 };
+}
+
+double
+EndpointBalancer::StartLimit(const published::Endpoint& aEndpoint,
+                             double aLimit,
+                             const StartLimits& aStart) const
+{
+  if (mLoads.HasFreshReport(aEndpoint.mId)) {
+    return aLimit;
+  }
+  const double share = std::min<double>(
+    aLimit, std::max(aStart.mMinPlaces, StartPlaces(aEndpoint)));
+  return share + aStart.mGrowth * (aLimit - share);
+}
+
+int
+EndpointBalancer::StartPlaces(const published::Endpoint& aEndpoint) const
+{
+  return StartShare::Places(aEndpoint.mSlots,
+                            mColdLimiter.FleetRank(aEndpoint),
+                            mColdLimiter.Fleet().mCount);
+}
+
 void
-EndpointBalancer::RecordReserved(const PlacementRequest& aRequest)
+EndpointBalancer::RecordDenied(const PlacementRequest& aRequest,
+                               const Placement& aPlacement)
 {
-  ++mReservedDenials;
-  if (mClock.Now() < mNextReservedLog) {
+  if (!aPlacement.mIsReserved && !aPlacement.mIsBeyondShare) {
+    return;
+  }
+  ++mDenials;
+  if (mClock.Now() < mNextDenialLog) {
     return;
   }
-  LOGI("Places are kept for more urgent requests. pool="
-       << aRequest.mPool << " priority=" << aRequest.mPriority
-       << " denied=" << mReservedDenials);
-  mReservedDenials = 0;
-  mNextReservedLog = mClock.Now() + kDenialLogInterval;
+  LOGI("Free places are not given to a request. pool="
+       << aRequest.mPool << " priority=" << aRequest.mPriority << " reserved="
+       << aPlacement.mIsReserved << " beyondShare=" << aPlacement.mIsBeyondShare
+       << " denials=" << mDenials);
+  mDenials = 0;
+  mNextDenialLog = mClock.Now() + kDenialLogInterval;
 }
 
 double
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -187,6 +187,9 @@
   if (placement.mIsReserved) {
     mContext.mMetrics.Count("beryllever_placements_reserved");
   }
+  if (placement.mIsBeyondShare) {
+    mContext.mMetrics.Count("beryllever_placements_beyond_share");
+  }
   if (placement.mStatus == PlacementStatus::AtCapacity) {
     WaitForEndpoint();
     return;
