--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/classreservation.h"
 #include "gateway/coldratelimiter.h"
 #include "gateway/endpointavailability.h"
 #include "gateway/endpointhealth.h"
 #include "gateway/endpointloadtable.h"
 #include "gateway/slowranklimit.h"
+#include "gateway/startshare.h"
 #include "published/snapshot.h"
 
 #include <optional>
@@ -24,6 +26,8 @@
   std::string mAvailabilityZone;
   /** Ids of the endpoints that the request has already been sent to. */
   std::set<std::string> mTriedEndpoints;
+  /** 0 is the most urgent. */
+  int mPriority = 0;
 };
 
 /** Result of selecting an endpoint. */
@@ -42,6 +46,11 @@
 {
   PlacementStatus mStatus = PlacementStatus::NoneUsable;
   const published::Endpoint* mEndpoint = nullptr;
+  /** Whether all endpoints with room keep it for more urgent requests. */
+  bool mIsReserved = false;
+  /** Whether endpoints have room beyond this gateway's share without reports.
+   */
+  bool mIsBeyondShare = false;
 };
 
 /** Selects an endpoint for each request by the load, health and limits of the
@@ -56,6 +65,8 @@
   /** Removes idle endpoints that are not in the snapshot. */
   void RemoveMissing(const published::Snapshot& aSnapshot);
 
+  /** Records that a request has arrived, once however often it is placed. */
+  void RecordArrival(const std::string& aPool, int aPriority);
   Placement Choose(const published::Snapshot& aSnapshot,
                    const PlacementRequest& aRequest);
   void RecordSent(const std::string& aEndpoint);
@@ -71,6 +82,14 @@
   bool IsSilent(const std::string& aEndpoint) const;
 
 private:
+  struct StartLimits
+  {
+    /** Part of the way from the share to the normal limit. */
+    double mGrowth = 0;
+    /** Places at any endpoint, if the share is too small. */
+    int mMinPlaces = 0;
+  };
+
   struct Candidate
   {
     const published::Endpoint* mEndpoint = nullptr;
@@ -78,11 +97,26 @@
     double mScore = 0;
   };
 
-  /** Whether one more request may be sent to the endpoint now, whose normal
-   * limit is multiplied by the factor. */
+  /** Whether one more request may be sent to the endpoint now, which may have
+   * aLimit requests. */
   bool HasCapacity(const published::Endpoint& aEndpoint,
                    const published::Pool& aPool,
-                   double aLimitFactor) const;
+                   double aLimit) const;
+  /** How the limits without reports have grown, unless they are normal. */
+  std::optional<StartLimits> AssessStart(
+    const std::vector<const published::Endpoint*>& aEndpoints,
+    const published::Pool& aPool);
+  /** Limit at an endpoint with the normal limit, for a gateway that lacks
+   * reports of the pool. */
+  double StartLimit(const published::Endpoint& aEndpoint,
+                    double aLimit,
+                    const StartLimits& aStart) const;
+  int StartPlaces(const published::Endpoint& aEndpoint) const;
+  /** Gateways and endpoints among which a pool's arrivals are divided. */
+  ReservationScope ScopeFor(size_t aEndpoints) const;
+  /** Logs denials by the reservation or the share, at most once in a while. */
+  void RecordDenied(const PlacementRequest& aRequest,
+                    const Placement& aPlacement);
   /** How slow the pool is; none unless its endpoints compute in lock-step. */
   std::optional<PoolSlowness> AssessSlowness(
     std::vector<const published::Endpoint*> aEndpoints,
@@ -101,6 +135,12 @@
   ColdRateLimiter mColdLimiter;
   EndpointAvailability mAvailability;
   SlowRankLimit mSlowRanks;
+  ClassReservation mReservation;
+  StartShare mStartShare;
+  const global::IClock& mClock;
+  global::TimePoint mNextDenialLog{};
+  /** Denials by the reservation or the share since the last log line. */
+  int mDenials = 0;
 };
 
 }
