Split the exchange into attempt, wait and request

The exchange held everything about a request, and admission by class would have made it grow further. Attempt now decides what data of an endpoint says about it and when it is given up; RequestWait holds the deadlines, the queue place and the time to return. No change of behavior.

--- /dev/null
+++ b/src/gateway/internal/attempt.cpp
@@ -0,0 +1,81 @@
+#include "gateway/internal/attempt.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace beryllever::gateway {
+
+namespace {
+
+using std::chrono::duration_cast;
+
+/** The same for an endpoint whose agent is silent too. Leaves the caller time
+ * for an answer from another endpoint. */
+constexpr milliseconds kSilentEndpointTimeout{ 700 };
+/** Time until the next look at an endpoint that has sent no data for so long.
+ */
+constexpr milliseconds kSilenceCheckInterval{ 100 };
+/** Fraction of the request's timeout after which an idempotent request without
+ * a response is retried on another endpoint. */
+constexpr double kIdempotentTimeoutFraction = 0.35;
+/** Longest time without data before an endpoint crashes. A group that stalls
+ * breaks off its responses after a longer time. */
+constexpr milliseconds kMaxSilence{ 1000 };
+/** Time from the first event of a response, at least. An endpoint that crashes
+ * as it begins to write may have sent several events until its process ends. */
+constexpr milliseconds kSoundTime{ 300 };
+
+}
+
+bool
+Attempt::HasOutlastedBegin(const ResponseForwarder& aResponse,
+                           global::TimePoint aNow) const
+{
+  const auto begin = aResponse.AttemptBegin();
+  return mIsForwarded && begin && aNow - *begin >= kSoundTime;
+}
+
+bool
+Attempt::WasStalled(const ResponseForwarder& aResponse,
+                    global::TimePoint aNow) const
+{
+  const auto lastData = mIsForwarded ? aResponse.LastForward() : mHeadAt;
+  return mHead && aNow - lastData > kMaxSilence;
+}
+
+bool
+Attempt::IsBrokenOffStream(const ResponseForwarder& aResponse,
+                           bool aIsResumed) const
+{
+  const auto type = mHead->mFields[net::http::field::content_type];
+  const bool isEvents =
+    type.empty() || boost::algorithm::istarts_with(type, "text/event-stream");
+  const bool mayEndAnywhere =
+    !isEvents || mHead->mLength || mHead->mStatus != 200;
+  if (!mIsForwarded || mayEndAnywhere) {
+    return false;
+  }
+  return aResponse.IsInsideEvent() ||
+         (!mHead->mIsChunked && !aIsResumed && !aResponse.AttemptBegin());
+}
+
+milliseconds
+Attempt::Timeout(bool aIsEventStream,
+                 bool aIsSilent,
+                 global::TimePoint::duration aTime) const
+{
+  const milliseconds timeout =
+    aIsEventStream || mIsForwarded
+      ? kStreamIdleTimeout
+      : duration_cast<milliseconds>(aTime * kIdempotentTimeoutFraction);
+  return aIsSilent ? std::min(timeout, kSilentEndpointTimeout) : timeout;
+}
+
+milliseconds
+Attempt::TimeToNextCheck(milliseconds aAge, milliseconds aLimit)
+{
+  const milliseconds untilSilent =
+    std::max(kSilentEndpointTimeout - aAge, kSilenceCheckInterval);
+  return std::min(aLimit - aAge, untilSilent);
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/attempt.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "gateway/internal/endpointconnections.h"
+#include "gateway/internal/responseforwarder.h"
+#include "gateway/requestcodec.h"
+#include "published/snapshot.h"
+
+namespace beryllever::gateway {
+
+/** Time without data after which a resumable stream is retried on another
+ * endpoint. Longer than the stall of a group, and shorter than the 2 s after
+ * which callers disconnect. */
+constexpr milliseconds kStreamIdleTimeout{ 1750 };
+
+/** One attempt to serve a request at an endpoint. */
+struct Attempt
+{
+  /** Whether data of the answer has come so long after its first event that
+   * its endpoint does not crash as it begins to write. */
+  bool HasOutlastedBegin(const ResponseForwarder& aResponse,
+                         global::TimePoint aNow) const;
+  /** Whether the endpoint had been silent so long that the break is probably
+   * due to a stalled group. */
+  bool WasStalled(const ResponseForwarder& aResponse,
+                  global::TimePoint aNow) const;
+  /** Whether a forwarded event stream that ended in good order was broken off.
+   * A resumed stream may have no more events. */
+  bool IsBrokenOffStream(const ResponseForwarder& aResponse,
+                         bool aIsResumed) const;
+  /** Time without data after which the attempt is given up. aTime is the time
+   * that the request had on arrival. */
+  milliseconds Timeout(bool aIsEventStream,
+                       bool aIsSilent,
+                       global::TimePoint::duration aTime) const;
+  /** Time until the next look at an attempt that has sent no data for aAge and
+   * is given up after aLimit, or sooner if its endpoint's agent falls silent.
+   */
+  static milliseconds TimeToNextCheck(milliseconds aAge, milliseconds aLimit);
+
+  published::Endpoint mEndpoint;
+  LeasedConnection mLease;
+  std::optional<net::AnswerHead> mHead;
+  ResponseMetadata mMetadata;
+  /** Part of the body that has not been forwarded. */
+  std::string mBody;
+  /** The response belongs to another request. */
+  bool mIsMismatched = false;
+  /** Bytes of responses to other requests. */
+  size_t mDiscardedBytes = 0;
+  bool mIsForwarded = false;
+  /** The parts of the prompt are known to be sound. */
+  bool mIsSound = false;
+  global::TimePoint mSentAt{};
+  global::TimePoint mHeadAt{};
+};
+
+}
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -3,9 +3,6 @@
 #include "framework/log/log.h"
 #include "gateway/internal/endpointstatements.h"
 #include "gateway/internal/headerfields.h"
-#include "gateway/returndelay.h"
-
-#include <boost/algorithm/string/predicate.hpp>
 
 namespace beryllever::gateway {
 
@@ -20,60 +17,14 @@
 /** Time to connect to an endpoint. The network delay is below 1 ms one way; the
  * rest allows for a busy endpoint. */
 constexpr milliseconds kConnectTimeout{ 300 };
-/** Longest time in the queue for an endpoint. Callers of streams disconnect
- * after 2 s without an event. */
-constexpr milliseconds kMaxQueueTime{ 900 };
-/** Fraction of the request's timeout that it may spend in the queue. */
-constexpr double kMaxQueueTimeFraction = 0.4;
-/** Time without data after which a resumable stream is retried on another
- * endpoint. Longer than the stall of a group, and shorter than the 2 s after
- * which callers disconnect. */
-constexpr milliseconds kStreamIdleTimeout{ 1750 };
-/** The same for an endpoint whose agent is silent too. Leaves the caller time
- * for an answer from another endpoint. */
-constexpr milliseconds kSilentEndpointTimeout{ 700 };
-/** Time until the next look at an endpoint that has sent no data for so long.
- */
-constexpr milliseconds kSilenceCheckInterval{ 100 };
-/** Fraction of the request's timeout after which an idempotent request without
- * a response is retried on another endpoint. */
-constexpr double kIdempotentTimeoutFraction = 0.35;
 /** Successful responses up to this size are forwarded only when complete, so
  * that they can still be retried. Those of streaming routes are forwarded at
  * once, and unsuccessful responses of any size only when complete. */
 constexpr size_t kMaxBufferedResponseBytes = 256 * 1024;
 /** Most bytes of responses to other requests that are skipped. */
 constexpr size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
-/** Timeout of requests that state none. */
-constexpr milliseconds kDefaultTimeout{ 30000 };
-/** Delay after which a full pool probably has free capacity again: the duration
- * of a few responses. */
-constexpr milliseconds kRetryAfterFull{ 400 };
-/** Multiple of the group form time after which a group that refuses requests
- * probably accepts them again: it stalls before it starts to form. */
-constexpr int kGroupFormTimeFactor = 2;
-/** Callers follow Retry-After up to the remaining time divided by this. */
-constexpr int kRetryAfterDivisor = 3;
 /** Delay before a retry while the gateway has no configuration. */
 constexpr milliseconds kRetryAfterUnconfigured{ 700 };
-/** Longest time without data before an endpoint crashes. A group that stalls
- * breaks off its responses after a longer time. */
-constexpr milliseconds kMaxSilence{ 1000 };
-/** Time from the first event of a response, at least. An endpoint that crashes
- * as it begins to write may have sent several events until its process ends. */
-constexpr milliseconds kSoundTime{ 300 };
-/** Requests that may be queued in one gateway. */
-constexpr size_t kMaxQueuedRequests = 64;
-
-/** Time until the next look at an attempt that has sent no data for aAge and is
- * given up after aLimit, or sooner if its endpoint's agent falls silent. */
-milliseconds
-TimeToNextCheck(milliseconds aAge, milliseconds aLimit)
-{
-  const milliseconds untilSilent =
-    std::max(kSilentEndpointTimeout - aAge, kSilenceCheckInterval);
-  return std::min(aLimit - aAge, untilSilent);
-}
 
 }
 
@@ -87,6 +38,7 @@
   , mOnEnd(std::move(aOnEnd))
   , mSnapshot(aContext.mSnapshot)
   , mMetadata(aContext.mCodec.ParseRequest(mRequest.mFields))
+  , mWait(aContext, mRequest.mArrival)
   , mResponse(aContext.mClock, mCaller, mRequest.mArrival)
 {
   mDeadlineTimer.setSingleShot(true);
@@ -109,10 +61,12 @@
   if (!TryAdmit()) {
     return;
   }
-  SetDeadlines();
+  mHasCallerDeadline = mMetadata.mRemainingTime.has_value();
+  mWait.Begin(mAdmission, mPool, mMetadata.mRemainingTime);
+  mDeadlineTimer.start(std::max(milliseconds(0), mWait.RemainingTime()));
   if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
                                                  mContext.mClock.Now(),
-                                                 mDeadline)) {
+                                                 mWait.Deadline())) {
     RefuseForStop();
     return;
   }
@@ -147,21 +101,6 @@
   RespondLocally(503, "the gateway is stopping", milliseconds(0));
 }
 
-void
-Exchange::SetDeadlines()
-{
-  mHasCallerDeadline = mMetadata.mRemainingTime.has_value();
-  milliseconds time = mMetadata.mRemainingTime.value_or(kDefaultTimeout);
-  if (mAdmission.mRoute->mTimeout.count() > 0) {
-    time = std::min(time, mAdmission.mRoute->mTimeout);
-  }
-  mDeadline = mRequest.mArrival + time;
-  const auto queueTime = std::min(
-    kMaxQueueTime, duration_cast<milliseconds>(time * kMaxQueueTimeFraction));
-  mWaitDeadline = mRequest.mArrival + queueTime;
-  mDeadlineTimer.start(std::max(milliseconds(0), RemainingTime()));
-}
-
 void
 Exchange::PlaceRequest()
 {
@@ -198,18 +137,16 @@
 void
 Exchange::WaitForEndpoint()
 {
-  if (mContext.mClock.Now() >= mWaitDeadline ||
-      mContext.QueueSize() >= kMaxQueuedRequests) {
-    FailRequest("all endpoints are full");
-    return;
-  }
   const std::weak_ptr<Exchange> weak = weak_from_this();
-  mQueueId = mContext.Enqueue(mAdmission.mPriority, [weak] {
+  const bool isQueued = mWait.TryEnqueue([weak] {
     if (const auto self = weak.lock()) {
-      self->mQueueId = 0;
+      self->mWait.EndTurn();
       self->PlaceRequest();
     }
   });
+  if (!isQueued) {
+    FailRequest("all endpoints are full");
+  }
 }
 
 void
@@ -224,7 +161,8 @@
     RespondLocally(502, aReason);
     return;
   }
-  RespondLocally(503, aReason, aRetryAfter.value_or(RetryAfter()));
+  RespondLocally(
+    503, aReason, aRetryAfter.value_or(mWait.RetryAfter(mWasRefused)));
 }
 
 void
@@ -261,7 +199,7 @@
     metadata.mPriority = mAdmission.mPriority;
   }
   if (mHasCallerDeadline) {
-    metadata.mRemainingTime = std::max(milliseconds(1), RemainingTime());
+    metadata.mRemainingTime = std::max(milliseconds(1), mWait.RemainingTime());
   }
   metadata.mLastEventId =
     mResponse.LastEventId() ? mResponse.LastEventId() : mMetadata.mLastEventId;
@@ -394,7 +332,8 @@
     case ForwardResult::Forwarded:
       break;
   }
-  if (!mAttempt->mIsSound && HasOutlastedBegin()) {
+  if (!mAttempt->mIsSound &&
+      mAttempt->HasOutlastedBegin(mResponse, mContext.mClock.Now())) {
     mAttempt->mIsSound = true;
     mContext.mPromptGuard.RecordSound(mMetadata);
   }
@@ -455,37 +394,16 @@
 bool
 Exchange::IsBrokenOffStream() const
 {
-  const net::AnswerHead& head = *mAttempt->mHead;
-  const auto type = head.mFields[http::field::content_type];
-  const bool isEvents =
-    type.empty() || boost::algorithm::istarts_with(type, "text/event-stream");
-  const bool mayEndAnywhere = !isEvents || head.mLength ||
-                              head.mStatus != 200 || mRequest.mMethod == "HEAD";
-  if (!mAttempt->mIsForwarded || !IsEventStream() || mayEndAnywhere) {
-    return false;
-  }
-  // A resumed stream may have no more events.
   const bool isResumed = mResponse.LastEventId() || mMetadata.mLastEventId;
-  return mResponse.IsInsideEvent() ||
-         (!head.mIsChunked && !isResumed && !mResponse.AttemptBegin());
-}
-
-bool
-Exchange::HasOutlastedBegin() const
-{
-  const auto begin = mResponse.AttemptBegin();
-  return mAttempt->mIsForwarded && begin &&
-         mContext.mClock.Now() - *begin >= kSoundTime;
+  return IsEventStream() && mRequest.mMethod != "HEAD" &&
+         mAttempt->IsBrokenOffStream(mResponse, isResumed);
 }
 
 void
 Exchange::RecordBreak()
 {
-  const auto lastData =
-    mAttempt->mIsForwarded ? mResponse.LastForward() : mAttempt->mHeadAt;
-  const bool wasStalled =
-    mAttempt->mHead && mContext.mClock.Now() - lastData > kMaxSilence;
-  if (!mAttempt->mIsSound && !wasStalled) {
+  if (!mAttempt->mIsSound &&
+      !mAttempt->WasStalled(mResponse, mContext.mClock.Now())) {
     mContext.mPromptGuard.RecordBreak(
       mMetadata, mAttempt->mEndpoint, mAttempt->mHead.has_value());
   }
@@ -586,7 +504,7 @@
   return static_cast<int>(mTriedEndpoints.size()) <
            mAdmission.mRoute->mMaxAttempts &&
          mAttempts <= mAdmission.mRoute->mMaxAttempts &&
-         RemainingTime() > milliseconds(20);
+         mWait.RemainingTime() > milliseconds(20);
 }
 
 bool
@@ -638,9 +556,12 @@
   const bool isForwarded = mAttempt->mIsForwarded;
   const auto since = isForwarded ? mResponse.LastForward() : mAttempt->mSentAt;
   const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
-  const milliseconds limit = AttemptTimeout();
+  const milliseconds limit =
+    mAttempt->Timeout(IsEventStream(),
+                      mContext.mBalancer.IsSilent(mAttempt->mEndpoint.mId),
+                      mWait.TotalTime());
   if (age < limit) {
-    mAttemptTimer.start(TimeToNextCheck(age, limit));
+    mAttemptTimer.start(Attempt::TimeToNextCheck(age, limit));
     return;
   }
   // While data is pending, the pause may be due to a caller that reads slowly.
@@ -663,19 +584,6 @@
   PlaceRequest();
 }
 
-milliseconds
-Exchange::AttemptTimeout() const
-{
-  const milliseconds timeout =
-    IsEventStream() || mAttempt->mIsForwarded
-      ? kStreamIdleTimeout
-      : duration_cast<milliseconds>((mDeadline - mRequest.mArrival) *
-                                    kIdempotentTimeoutFraction);
-  return mContext.mBalancer.IsSilent(mAttempt->mEndpoint.mId)
-           ? std::min(timeout, kSilentEndpointTimeout)
-           : timeout;
-}
-
 void
 Exchange::HandleDeadline()
 {
@@ -753,9 +661,7 @@
   mIsFinished = true;
   mDeadlineTimer.stop();
   mAttemptTimer.stop();
-  if (mQueueId != 0) {
-    mContext.Dequeue(mQueueId);
-  }
+  mWait.Leave();
   const std::string route =
     mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
   LOGI("Ended. request="
@@ -765,13 +671,13 @@
        << StopFields() << " firstByteMilliseconds="
        << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
        << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
-       << " milliseconds=" << Elapsed().count() << " version="
+       << " milliseconds=" << mWait.Elapsed().count() << " version="
        << mSnapshot->Version() << " revision=" << mContext.mSnapshot->Revision()
        << " outcome=\"" << aOutcome << "\"");
   mContext.mMetrics.Count("beryllever_requests",
                           { { "status", std::to_string(aStatus) } });
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
-                           static_cast<double>(Elapsed().count()));
+                           static_cast<double>(mWait.Elapsed().count()));
   mAttempt.reset();
   mContext.WakeQueued();
   if (const auto onEnd = std::move(mOnEnd)) {
@@ -790,38 +696,4 @@
   return " arrivedAfterStopMilliseconds=" + std::to_string(age.count());
 }
 
-milliseconds
-Exchange::RemainingTime() const
-{
-  return duration_cast<milliseconds>(mDeadline - mContext.mClock.Now());
-}
-
-milliseconds
-Exchange::Elapsed() const
-{
-  return duration_cast<milliseconds>(mContext.mClock.Now() - mRequest.mArrival);
-}
-
-milliseconds
-Exchange::RetryAfter()
-{
-  const milliseconds longest =
-    std::max(milliseconds(0), RemainingTime()) / kRetryAfterDivisor;
-  if (const auto resume = mContext.mBalancer.Availability().PoolPausedUntil(
-        *mContext.mSnapshot, mPool)) {
-    const auto pause =
-      duration_cast<milliseconds>(*resume - mContext.mClock.Now());
-    return DrawReturnDelay(pause, longest, mContext.mRandom);
-  }
-  const published::Pool* pool = mContext.mSnapshot->FindPool(mPool);
-  milliseconds delay = kRetryAfterFull;
-  if (mWasRefused && pool != nullptr && pool->mEngine) {
-    delay =
-      std::max(delay, kGroupFormTimeFactor * pool->mEngine->mGroupFormTime);
-  }
-  std::uniform_real_distribution<double> jitter(0.7, 1.3);
-  return std::min(duration_cast<milliseconds>(delay * jitter(mContext.mRandom)),
-                  longest);
-}
-
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/internal/admission.h"
+#include "gateway/internal/attempt.h"
+#include "gateway/internal/requestwait.h"
 #include "gateway/internal/responseforwarder.h"
 #include "gateway/internal/trafficcontext.h"
 
@@ -33,30 +35,9 @@
   void HandleCallerDrained();
 
 private:
-  /** One attempt to serve the request at an endpoint. */
-  struct Attempt
-  {
-    published::Endpoint mEndpoint;
-    LeasedConnection mLease;
-    std::optional<net::AnswerHead> mHead;
-    ResponseMetadata mMetadata;
-    /** Part of the body that has not been forwarded. */
-    std::string mBody;
-    /** The response belongs to another request. */
-    bool mIsMismatched = false;
-    /** Bytes of responses to other requests. */
-    size_t mDiscardedBytes = 0;
-    bool mIsForwarded = false;
-    /** The parts of the prompt are known to be sound. */
-    bool mIsSound = false;
-    global::TimePoint mSentAt{};
-    global::TimePoint mHeadAt{};
-  };
-
   /** Looks up the route and selects a pool. If the request may not be served,
    * responds with the reason and returns false. */
   bool TryAdmit();
-  void SetDeadlines();
   /** Refuses a request that may not be complete before the process ends. */
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
@@ -67,9 +48,6 @@
    * request and with 503 if not. */
   void FailRequest(const std::string& aReason,
                    std::optional<milliseconds> aRetryAfter = {});
-  /** Whether data of the answer has come so long after its first event that
-   * its endpoint does not crash as it begins to write. */
-  bool HasOutlastedBegin() const;
   /** Notes for the quarantine of prompt parts that the endpoint's connection
    * has ended. */
   void RecordBreak();
@@ -86,8 +64,6 @@
   void HandleNotExecuted();
   void HandleBrokenAttempt(const std::string& aReason);
   void HandleAttemptTimeout();
-  /** Time without data after which the attempt is given up. */
-  milliseconds AttemptTimeout() const;
   void HandleDeadline();
 
   bool IsEventStream() const;
@@ -114,10 +90,6 @@
   /** Field of the log that tells when a request came to a process that is told
    * to stop; empty before that. */
   std::string StopFields() const;
-  milliseconds RemainingTime() const;
-  milliseconds Elapsed() const;
-  /** Delay after which the caller should retry a request that has not run. */
-  milliseconds RetryAfter();
 
   TrafficContext& mContext;
   std::shared_ptr<net::HttpServerConnection> mCaller;
@@ -127,14 +99,8 @@
   RequestMetadata mMetadata;
   Admission mAdmission;
   std::string mPool;
-  /** Deadline set by the caller, by default 30 s after the arrival, or by the
-   * route's timeout, whichever is earlier. */
-  global::TimePoint mDeadline{};
   bool mHasCallerDeadline = false;
-  /** Time until which the request may be queued for an endpoint. */
-  global::TimePoint mWaitDeadline{};
-  /** Id of the queued request; 0 if it is not queued. */
-  uint64_t mQueueId = 0;
+  RequestWait mWait;
   std::set<std::string> mTriedEndpoints;
   int mAttempts = 0;
   std::unique_ptr<Attempt> mAttempt;
--- /dev/null
+++ b/src/gateway/internal/requestwait.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "gateway/internal/admission.h"
+#include "gateway/internal/trafficcontext.h"
+
+namespace beryllever::gateway {
+
+/** Delay after which a full pool probably has free capacity again: the duration
+ * of a few responses. */
+constexpr milliseconds kRetryAfterFull{ 400 };
+
+/** Times of a request, its place in the queue for an endpoint, and the time at
+ * which its caller should return. */
+class RequestWait
+{
+public:
+  RequestWait(TrafficContext& aContext, global::TimePoint aArrival);
+
+  /** Sets the deadlines. aTime is the time that the caller states. */
+  void Begin(const Admission& aAdmission,
+             const std::string& aPool,
+             std::optional<milliseconds> aTime);
+  /** Queues the request until aOnTurn is called. Returns false if it has waited
+   * too long or the queue is full. */
+  bool TryEnqueue(std::function<void()> aOnTurn);
+  /** Records that the queue has called aOnTurn. */
+  void EndTurn() { mQueueId = 0; }
+  /** Takes the request out of the queue. */
+  void Leave();
+  /** Time that the request had on arrival. */
+  global::TimePoint::duration TotalTime() const { return mDeadline - mArrival; }
+  global::TimePoint Deadline() const { return mDeadline; }
+  milliseconds RemainingTime() const;
+  milliseconds Elapsed() const;
+  /** Delay after which the caller should retry a request that has not run.
+   * aWasRefused tells that an endpoint has refused it. */
+  milliseconds RetryAfter(bool aWasRefused);
+
+private:
+  TrafficContext& mContext;
+  const global::TimePoint mArrival;
+  std::string mPool;
+  int mPriority = 0;
+  /** Deadline set by the caller, by default 30 s after the arrival, or by the
+   * route's timeout, whichever is earlier. */
+  global::TimePoint mDeadline{};
+  /** Time until which the request may be queued for an endpoint. */
+  global::TimePoint mWaitDeadline{};
+  /** Id of the queued request; 0 if it is not queued. */
+  uint64_t mQueueId = 0;
+};
+
+}
