Queue requests by class where a pool has priorities

Under overload each wake-up let every queued request try again, and moved those that found no place to the end of the queue data; a full queue turned urgent requests away while less urgent ones waited.

AdmissionQueue keeps requests in a WaitQueue: by priority, then fair between workspaces. A wake-up stops at the first request that finds no place. A full queue displaces a less urgent request, which gets 503 immediately. Pools without priorities keep the queue they had.

WaitQueue gets Take and LowestFront, and a virtual time for each class: with one for all, a workspace that joined a class was served ahead of the others.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -113,6 +113,10 @@
                 refusal->mRetryAfter);
     return;
   }
+  if (mWait.MustQueue()) {
+    WaitForEndpoint();
+    return;
+  }
   const PlacementRequest request{ mPool,
                                   mContext.mAvailabilityZone,
                                   mTriedEndpoints };
@@ -138,17 +142,51 @@
 Exchange::WaitForEndpoint()
 {
   const std::weak_ptr<Exchange> weak = weak_from_this();
-  const bool isQueued = mWait.TryEnqueue([weak] {
-    if (const auto self = weak.lock()) {
-      self->mWait.EndTurn();
-      self->PlaceRequest();
-    }
-  });
+  const bool isQueued =
+    mWait.TryEnqueue({ .mIsRetry = !mTriedEndpoints.empty(),
+                       .mTryPlace =
+                         [weak] {
+                           const auto self = weak.lock();
+                           return !self || self->TryPlaceQueued();
+                         },
+                       .mOnRefused =
+                         [weak](QueueRefusal aRefusal) {
+                           if (const auto self = weak.lock()) {
+                             self->HandleQueueRefusal(aRefusal);
+                           }
+                         } });
   if (!isQueued) {
     FailRequest("all endpoints are full");
   }
 }
 
+bool
+Exchange::TryPlaceQueued()
+{
+  const uint64_t id = mWait.QueueId();
+  if (!mWait.KeepsPlace()) {
+    mWait.EndTurn();
+  }
+  PlaceRequest();
+  return mWait.QueueId() != id;
+}
+
+void
+Exchange::HandleQueueRefusal(QueueRefusal aRefusal)
+{
+  mWait.EndTurn();
+  if (aRefusal == QueueRefusal::Displaced) {
+    LOGI("A more urgent request took the place in the full queue. request="
+         << mMetadata.mRequestId << " pool=" << mPool
+         << " priority=" << mAdmission.mPriority
+         << " milliseconds=" << mWait.Elapsed().count());
+    mContext.mMetrics.Count(
+      "beryllever_displaced_requests",
+      { { "priority", std::to_string(mAdmission.mPriority) } });
+  }
+  FailRequest("all endpoints are full");
+}
+
 void
 Exchange::FailRequest(const std::string& aReason,
                       std::optional<milliseconds> aRetryAfter)
@@ -168,6 +206,7 @@
 void
 Exchange::Send(const published::Endpoint& aEndpoint)
 {
+  mWait.RecordPlaced();
   mAttempt = std::make_unique<Attempt>();
   mAttempt->mEndpoint = aEndpoint;
   mAttempt->mSentAt = mContext.mClock.Now();
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -42,7 +42,11 @@
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
   void PlaceRequest();
+  /** Queues the request, or fails it if it may not wait. */
   void WaitForEndpoint();
+  /** Returns false if the request has to stay in the queue. */
+  bool TryPlaceQueued();
+  void HandleQueueRefusal(QueueRefusal aRefusal);
   /** Ends a request that no further endpoint will get: aborts a response that
    * has begun, or else responds with 502 if an ended attempt may have run the
    * request and with 503 if not. */
--- a/src/gateway/internal/requestwait.cpp
+++ b/src/gateway/internal/requestwait.cpp
@@ -20,8 +20,6 @@
 constexpr int kGroupFormTimeFactor = 2;
 /** Callers follow Retry-After up to the remaining time divided by this. */
 constexpr int kRetryAfterDivisor = 3;
-/** Requests that may be queued in one gateway. */
-constexpr size_t kMaxQueuedRequests = 64;
 
 }
 
@@ -37,6 +35,7 @@
                    std::optional<milliseconds> aTime)
 {
   mPool = aPool;
+  mWorkspace = aAdmission.mWorkspace;
   mPriority = aAdmission.mPriority;
   milliseconds time = aTime.value_or(kDefaultTimeout);
   if (aAdmission.mRoute->mTimeout.count() > 0) {
@@ -49,21 +48,59 @@
 }
 
 bool
-RequestWait::TryEnqueue(std::function<void()> aOnTurn)
+RequestWait::MustQueue() const
 {
-  if (mContext.mClock.Now() >= mWaitDeadline ||
-      mContext.QueueSize() >= kMaxQueuedRequests) {
+  const AdmissionQueue* queue = mContext.FindAdmissionQueue(mPool);
+  return !IsQueued() && queue != nullptr && queue->MustQueue(mPriority);
+}
+
+bool
+RequestWait::TryEnqueue(AdmissionEntry aEntry)
+{
+  if (mContext.mClock.Now() >= mWaitDeadline) {
+    return false;
+  }
+  if (IsQueued()) {
+    return true;
+  }
+  mQueue = mContext.FindAdmissionQueue(mPool);
+  if (mQueue != nullptr) {
+    aEntry.mWorkspace = mWorkspace;
+    aEntry.mPriority = mPriority;
+    aEntry.mDeadline = mWaitDeadline;
+    mQueueId = mQueue->Add(std::move(aEntry));
+    mContext.WakeQueued();
+    return IsQueued();
+  }
+  if (mContext.QueueSize() >= kMaxQueuedRequests) {
     return false;
   }
-  mQueueId = mContext.Enqueue(mPriority, std::move(aOnTurn));
+  mQueueId = mContext.Enqueue(
+    mPriority, [tryPlace = std::move(aEntry.mTryPlace)] { tryPlace(); });
   return true;
 }
 
+void
+RequestWait::RecordPlaced()
+{
+  if (IsQueued()) {
+    mQueueId = 0;
+  } else if (auto* queue = mContext.FindAdmissionQueue(mPool)) {
+    queue->RecordPlaced();
+  }
+}
+
 void
 RequestWait::Leave()
 {
-  if (mQueueId != 0) {
-    mContext.Dequeue(std::exchange(mQueueId, 0));
+  const uint64_t id = std::exchange(mQueueId, 0);
+  if (id == 0) {
+    return;
+  }
+  if (mQueue != nullptr) {
+    mQueue->Remove(id);
+  } else {
+    mContext.Dequeue(id);
   }
 }
 
--- a/src/gateway/internal/requestwait.h
+++ b/src/gateway/internal/requestwait.h
@@ -20,11 +20,21 @@
   void Begin(const Admission& aAdmission,
              const std::string& aPool,
              std::optional<milliseconds> aTime);
-  /** Queues the request until aOnTurn is called. Returns false if it has waited
-   * too long or the queue is full. */
-  bool TryEnqueue(std::function<void()> aOnTurn);
-  /** Records that the queue has called aOnTurn. */
+  /** Whether the request has to queue even if there is a free place. */
+  bool MustQueue() const;
+  /** Queues the request, or leaves it in its place in the queue. Returns false
+   * if it has waited too long or the queue is full. aEntry states how it is
+   * placed and refused. */
+  bool TryEnqueue(AdmissionEntry aEntry);
+  bool IsQueued() const { return mQueueId != 0; }
+  /** Id of the queued request; 0 if it is not queued. */
+  uint64_t QueueId() const { return mQueueId; }
+  /** Whether the request keeps its place in the queue while it tries. */
+  bool KeepsPlace() const { return mQueue != nullptr; }
+  /** Records that the queue has taken the request out. */
   void EndTurn() { mQueueId = 0; }
+  /** Records that the request is sent to an endpoint. */
+  void RecordPlaced();
   /** Takes the request out of the queue. */
   void Leave();
   /** Time that the request had on arrival. */
@@ -40,7 +50,10 @@
   TrafficContext& mContext;
   const global::TimePoint mArrival;
   std::string mPool;
+  std::string mWorkspace;
   int mPriority = 0;
+  /** Queue that holds the request; null if the one of all pools does. */
+  AdmissionQueue* mQueue = nullptr;
   /** Deadline set by the caller, by default 30 s after the arrival, or by the
    * route's timeout, whichever is earlier. */
   global::TimePoint mDeadline{};
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -87,7 +87,7 @@
 void
 TrafficContext::WakeQueued()
 {
-  if (!mQueue.empty()) {
+  if (HasQueued()) {
     mWakeTimer.start(0);
   }
 }
@@ -100,6 +100,32 @@
   for (auto& [order, onTurn] : queue) {
     onTurn();
   }
+  for (auto& [pool, admissionQueue] : mAdmissionQueues) {
+    admissionQueue.Serve();
+    admissionQueue.RefuseExpired(mClock.Now());
+  }
+  if (HasQueued() && !mWakeTimer.isActive()) {
+    mWakeTimer.start(kRecheckInterval);
+  }
+}
+
+bool
+TrafficContext::HasQueued() const
+{
+  return !mQueue.empty() || std::any_of(mAdmissionQueues.begin(),
+                                        mAdmissionQueues.end(),
+                                        [](const auto& aQueue) {
+                                          return aQueue.second.Size() > 0;
+                                        });
+}
+
+AdmissionQueue*
+TrafficContext::FindAdmissionQueue(const std::string& aPool)
+{
+  if (!mSnapshot->HasPriorities(aPool)) {
+    return nullptr;
+  }
+  return &mAdmissionQueues.try_emplace(aPool, kMaxQueuedRequests).first->second;
 }
 
 PoolRetryBudget&
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/metrics/metrics.h"
+#include "gateway/admissionqueue.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
 #include "gateway/internal/promptguard.h"
@@ -16,6 +17,10 @@
 
 namespace beryllever::gateway {
 
+/** Requests that may be queued in one gateway: those of each pool that has
+ * priorities, and those of all others. */
+constexpr size_t kMaxQueuedRequests = 64;
+
 /** State shared by all requests of the traffic thread. */
 class TrafficContext
 {
@@ -33,6 +38,9 @@
   uint64_t Enqueue(int aPriority, std::function<void()> aOnTurn);
   void Dequeue(uint64_t aId);
   size_t QueueSize() const { return mQueue.size(); }
+  /** Queue of a pool whose requests have different priorities, or null.
+   * Requests of other pools share the queue of Enqueue. */
+  AdmissionQueue* FindAdmissionQueue(const std::string& aPool);
   /** Lets the queued requests try again, the most urgent first. */
   void WakeQueued();
   PoolRetryBudget& RetryBudgetFor(const std::string& aPool);
@@ -54,6 +62,7 @@
 
 private:
   void RetryQueued();
+  bool HasQueued() const;
 
   SiteLimits mLimits;
   int mGatewayCount = 1;
@@ -61,6 +70,7 @@
   /** Ordered by priority, then by arrival. */
   std::map<std::pair<int, uint64_t>, std::function<void()>> mQueue;
   uint64_t mLastQueueId = 0;
+  std::map<std::string, AdmissionQueue> mAdmissionQueues;
   QTimer mWakeTimer;
   QTimer mSweepTimer;
 };
--- a/src/routing/internal/waitqueue.cpp
+++ b/src/routing/internal/waitqueue.cpp
@@ -19,9 +19,11 @@
       return shed;
     }
   }
-  WorkspaceQueue& queue = mClasses[aRequest.mPriority][aRequest.mWorkspace];
+  PriorityClass& priorityClass = mClasses[aRequest.mPriority];
+  WorkspaceQueue& queue = priorityClass.mWorkspaces[aRequest.mWorkspace];
   if (queue.mRequests.empty()) {
-    queue.mVirtualStart = std::max(queue.mVirtualStart, mVirtualTime);
+    queue.mVirtualStart =
+      std::max(queue.mVirtualStart, priorityClass.mVirtualTime);
   }
   queue.mRequests.push_back(std::move(aRequest));
   ++mSize;
@@ -37,31 +39,47 @@
   return &NextQueue(mClasses.begin()->second)->second.mRequests.front();
 }
 
+const QueuedRequest*
+WaitQueue::LowestFront() const
+{
+  if (mClasses.empty()) {
+    return nullptr;
+  }
+  return &NextQueue(mClasses.rbegin()->second)->second.mRequests.front();
+}
+
 void
 WaitQueue::Pop()
 {
-  const auto first = mClasses.begin();
-  const auto queue = NextQueue(first->second);
-  const QueuedRequest request = queue->second.mRequests.front();
-  mVirtualTime = queue->second.mVirtualStart;
-  queue->second.mVirtualStart += 1.0 / request.mWeight;
-  queue->second.mRequests.pop_front();
-  --mSize;
-  EraseIfEmpty(first, request.mWorkspace);
+  Take(Front()->mId);
+}
+
+void
+WaitQueue::Take(uint64_t aId)
+{
+  Remove(aId, true);
 }
 
 bool
-WaitQueue::Remove(uint64_t aId)
+WaitQueue::Remove(uint64_t aId, bool aIsServed)
 {
   for (auto it = mClasses.begin(); it != mClasses.end(); ++it) {
-    for (auto& [workspace, queue] : it->second) {
-      if (std::erase_if(queue.mRequests, [&](const QueuedRequest& aRequest) {
-            return aRequest.mId == aId;
-          }) > 0) {
-        --mSize;
-        EraseIfEmpty(it, std::string(workspace));
-        return true;
+    for (auto& [workspace, queue] : it->second.mWorkspaces) {
+      const auto request = std::find_if(
+        queue.mRequests.begin(),
+        queue.mRequests.end(),
+        [&](const QueuedRequest& aQueued) { return aQueued.mId == aId; });
+      if (request == queue.mRequests.end()) {
+        continue;
+      }
+      if (aIsServed) {
+        it->second.mVirtualTime = queue.mVirtualStart;
+        queue.mVirtualStart += 1.0 / request->mWeight;
       }
+      queue.mRequests.erase(request);
+      --mSize;
+      EraseIfEmpty(it, std::string(workspace));
+      return true;
     }
   }
   return false;
@@ -71,8 +89,8 @@
 WaitQueue::RemoveExpired(global::TimePoint aNow)
 {
   std::vector<QueuedRequest> expired;
-  for (const auto& [priority, queues] : mClasses) {
-    for (const auto& [workspace, queue] : queues) {
+  for (const auto& [priority, priorityClass] : mClasses) {
+    for (const auto& [workspace, queue] : priorityClass.mWorkspaces) {
       std::copy_if(queue.mRequests.begin(),
                    queue.mRequests.end(),
                    std::back_inserter(expired),
@@ -95,8 +113,8 @@
     return aRequest;
   }
   const auto longest = std::max_element(
-    lowest->second.begin(),
-    lowest->second.end(),
+    lowest->second.mWorkspaces.begin(),
+    lowest->second.mWorkspaces.end(),
     [](const auto& aLeft, const auto& aRight) {
       return aLeft.second.mRequests.size() < aRight.second.mRequests.size();
     });
@@ -109,25 +127,26 @@
   return shed;
 }
 
-WaitQueue::PriorityClass::iterator
-WaitQueue::NextQueue(PriorityClass& aClass) const
+WaitQueue::Workspaces::iterator
+WaitQueue::NextQueue(PriorityClass& aClass)
 {
-  return std::min_element(
-    aClass.begin(), aClass.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.mVirtualStart < aRight.second.mVirtualStart;
-    });
+  return std::min_element(aClass.mWorkspaces.begin(),
+                          aClass.mWorkspaces.end(),
+                          [](const auto& aLeft, const auto& aRight) {
+                            return aLeft.second.mVirtualStart <
+                                   aRight.second.mVirtualStart;
+                          });
 }
 
 void
-WaitQueue::EraseIfEmpty(
-  std::map<int, PriorityClass, std::greater<>>::iterator aClass,
-  const std::string& aWorkspace)
+WaitQueue::EraseIfEmpty(Classes::iterator aClass, const std::string& aWorkspace)
 {
-  const auto queue = aClass->second.find(aWorkspace);
-  if (queue != aClass->second.end() && queue->second.mRequests.empty()) {
-    aClass->second.erase(queue);
+  Workspaces& workspaces = aClass->second.mWorkspaces;
+  const auto queue = workspaces.find(aWorkspace);
+  if (queue != workspaces.end() && queue->second.mRequests.empty()) {
+    workspaces.erase(queue);
   }
-  if (aClass->second.empty()) {
+  if (workspaces.empty()) {
     mClasses.erase(aClass);
   }
 }
--- a/src/routing/tests/waitqueuetest.cpp
+++ b/src/routing/tests/waitqueuetest.cpp
@@ -88,3 +88,39 @@
   CHECK_EQUAL(1u, expired.size());
   CHECK_EQUAL(2u, queue.Front()->mId);
 }
+
+// Fails if a workspace that joins a class is served ahead of the others in it
+// because other classes were served before.
+TEST(WaitQueue, SharesOfAClassDoNotDependOnOtherClasses)
+{
+  WaitQueue queue(100);
+  for (uint64_t i = 0; i < 10; ++i) {
+    queue.Push(MakeRequest(i, "a", 8));
+  }
+  queue.Push(MakeRequest(50, "c", 2));
+  for (uint64_t i = 0; i < 5; ++i) {
+    queue.Pop();
+  }
+  queue.Take(50);
+  for (uint64_t i = 20; i < 25; ++i) {
+    queue.Push(MakeRequest(i, "b", 8));
+  }
+
+  std::map<std::string, int> served;
+  for (int i = 0; i < 4; ++i) {
+    ++served[queue.Front()->mWorkspace];
+    queue.Pop();
+  }
+
+  CHECK(served["a"] >= 1);
+}
+
+// Fails if a place kept for the lowest priority goes to another one.
+TEST(WaitQueue, TheLowestFrontIsOfTheLowestPriority)
+{
+  WaitQueue queue(3);
+  queue.Push(MakeRequest(1, "a", 2));
+  queue.Push(MakeRequest(2, "a", 8));
+
+  CHECK_EQUAL(1u, queue.LowestFront()->mId);
+}
--- a/src/routing/waitqueue.h
+++ b/src/routing/waitqueue.h
@@ -44,9 +44,13 @@
   /** Returns the next request to serve without removing it, or null if the
    * queue is empty. */
   const QueuedRequest* Front() const;
+  /** Returns the next request to serve of the lowest priority, or null. */
+  const QueuedRequest* LowestFront() const;
   void Pop();
+  /** Removes a request because it is served, and charges its workspace. */
+  void Take(uint64_t aId);
   /** Removes a request, for example because its caller has disconnected. */
-  bool Remove(uint64_t aId);
+  bool Remove(uint64_t aId) { return Remove(aId, false); }
   /** Removes and returns the requests whose deadline has passed. */
   std::vector<QueuedRequest> RemoveExpired(global::TimePoint aNow);
 
@@ -60,20 +64,26 @@
     /** Virtual start time of the first request. */
     double mVirtualStart = 0;
   };
-  /** Queues of one priority by workspace. */
-  using PriorityClass = std::map<std::string, WorkspaceQueue>;
+  using Workspaces = std::map<std::string, WorkspaceQueue>;
+  /** Queues of one priority. Its virtual time is its own: with one for all, a
+   * workspace that joins a class would be ahead of or behind the others in it
+   * by what other classes were served. */
+  struct PriorityClass
+  {
+    Workspaces mWorkspaces;
+    double mVirtualTime = 0;
+  };
+  using Classes = std::map<int, PriorityClass, std::greater<>>;
 
   /** Sheds a request in favour of a new one, or rejects the new one. */
   std::optional<QueuedRequest> ShedRequestFor(const QueuedRequest& aRequest);
-  PriorityClass::iterator NextQueue(PriorityClass& aClass) const;
-  void EraseIfEmpty(
-    std::map<int, PriorityClass, std::greater<>>::iterator aClass,
-    const std::string& aWorkspace);
+  bool Remove(uint64_t aId, bool aIsServed);
+  static Workspaces::iterator NextQueue(PriorityClass& aClass);
+  void EraseIfEmpty(Classes::iterator aClass, const std::string& aWorkspace);
 
   const size_t mMaxSize;
   size_t mSize = 0;
-  double mVirtualTime = 0;
-  mutable std::map<int, PriorityClass, std::greater<>> mClasses;
+  mutable Classes mClasses;
 };
 
 }
