Refuse requests that cannot be served in time immediately

Under overload, requests of a pool with priorities waited for 0.9 s or 0.4 of their time before they were refused, and all callers were told to return after the same 400 ms.

WaitEstimator takes the rate at which places became free in the last 2 s while requests waited. A request whose estimated start is after its wait limit is refused on arrival, or in the queue when that becomes so. Refused callers are told to return one by one at that rate. With fewer than 20 completions nothing is refused by estimate and Retry-After is as before.

--- a/src/gateway/admissionqueue.h
+++ b/src/gateway/admissionqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/waitestimator.h"
 #include "routing/waitqueue.h"
 
 #include <functional>
@@ -7,12 +8,19 @@
 
 namespace beryllever::gateway {
 
+/** Standard deviations by which an arriving request is expected to wait longer
+ * than the mean. Without them the queue of an overloaded pool is so long that
+ * half of the last requests in it wait in vain. */
+constexpr double kArrivalDeviations = 1;
+
 /** Why a queue gives up a request. */
 enum class QueueRefusal
 {
   /** A more urgent request has taken its place. */
   Displaced,
   Expired,
+  /** It is not expected to be served in time. */
+  Hopeless,
 };
 
 /** A request to be queued for a pool whose requests have priorities. */
@@ -49,6 +57,11 @@
   void Serve();
   /** Gives up the requests that may not wait any longer. */
   void RefuseExpired(global::TimePoint aNow);
+  /** Gives up the requests that are not expected to be served in time, except
+   * retries: an endpoint may have run them, so that they end with an error. */
+  void RefuseHopeless(const WaitEstimator& aEstimator, global::TimePoint aNow);
+  /** Requests that are served before one that arrives now. */
+  RequestsAhead Ahead(int aPriority) const;
   /** Whether an arriving request has to queue, because a request that is as
    * urgent waits or the next place is the least urgent class's. */
   bool MustQueue(int aPriority) const;
--- a/src/gateway/internal/admissionqueue.cpp
+++ b/src/gateway/internal/admissionqueue.cpp
@@ -1,5 +1,6 @@
 #include "gateway/admissionqueue.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace beryllever::gateway {
@@ -9,11 +10,29 @@
 /** One place in so many goes to the least urgent class that waits. */
 constexpr int kPlacesPerLowest = 10;
 
+/** A waiting request is given up only if its wait would be too long in spite of
+ * usual fluctuation, not for a brief pause. */
+constexpr double kWaitingDeviations = -1;
+
+RequestsAhead
+AheadIn(const std::map<int, size_t>& aCounts, int aPriority, int aLowest)
+{
+  RequestsAhead ahead{ .mIsLowest = aPriority >= aLowest };
+  for (const auto& [priority, count] : aCounts) {
+    if (priority < aPriority) {
+      ahead.mMoreUrgent += count;
+    } else if (priority == aPriority) {
+      ahead.mSameClass = count;
+    }
+  }
+  return ahead;
+}
+
 }
 
 AdmissionQueue::AdmissionQueue(size_t aMaxSize)
   : mMaxSize(aMaxSize)
-  , mQueue(aMaxSize)
+  , mQueue(aMaxSize, aMaxSize / kPlacesPerLowest)
 {
 }
 
@@ -97,6 +116,40 @@
   }
 }
 
+void
+AdmissionQueue::RefuseHopeless(const WaitEstimator& aEstimator,
+                               global::TimePoint aNow)
+{
+  std::vector<std::pair<int, uint64_t>> order;
+  for (const auto& [id, entry] : mEntries) {
+    order.emplace_back(entry.mPriority, id);
+  }
+  std::sort(order.begin(), order.end());
+  std::map<int, size_t> kept;
+  for (const auto& [priority, id] : order) {
+    const auto it = mEntries.find(id);
+    if (it == mEntries.end()) {
+      continue;
+    }
+    const auto wait =
+      aEstimator.EstimateWait(priority,
+                              AheadIn(kept, priority, mCounts.rbegin()->first),
+                              kWaitingDeviations);
+    if (!it->second.mIsRetry && wait && aNow + *wait > it->second.mDeadline) {
+      Refuse(id, QueueRefusal::Hopeless);
+    } else {
+      ++kept[priority];
+    }
+  }
+}
+
+RequestsAhead
+AdmissionQueue::Ahead(int aPriority) const
+{
+  return AheadIn(
+    mCounts, aPriority, mCounts.empty() ? aPriority : mCounts.rbegin()->first);
+}
+
 bool
 AdmissionQueue::TryServe(uint64_t aId)
 {
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -62,7 +62,7 @@
     return;
   }
   mHasCallerDeadline = mMetadata.mRemainingTime.has_value();
-  mWait.Begin(mAdmission, mPool, mMetadata.mRemainingTime);
+  mWait.Begin(mAdmission, mPool, mMetadata);
   mDeadlineTimer.start(std::max(milliseconds(0), mWait.RemainingTime()));
   if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
                                                  mContext.mClock.Now(),
@@ -156,7 +156,7 @@
                            }
                          } });
   if (!isQueued) {
-    FailRequest("all endpoints are full");
+    FailRequest("all endpoints are full", mWait.BookReturn());
   }
 }
 
@@ -176,15 +176,14 @@
 {
   mWait.EndTurn();
   if (aRefusal == QueueRefusal::Displaced) {
-    LOGI("A more urgent request took the place in the full queue. request="
-         << mMetadata.mRequestId << " pool=" << mPool
-         << " priority=" << mAdmission.mPriority
-         << " milliseconds=" << mWait.Elapsed().count());
-    mContext.mMetrics.Count(
-      "beryllever_displaced_requests",
-      { { "priority", std::to_string(mAdmission.mPriority) } });
+    mWait.RecordRefusal(
+      "A more urgent request took the place in the full queue",
+      "beryllever_displaced_requests");
+  } else if (aRefusal == QueueRefusal::Hopeless) {
+    mWait.RecordRefusal("The waiting request cannot be served in time",
+                        "beryllever_hopeless_requests");
   }
-  FailRequest("all endpoints are full");
+  FailRequest("all endpoints are full", mWait.BookReturn());
 }
 
 void
@@ -479,6 +478,7 @@
   mContext.mConnections.Release(mAttempt->mEndpoint,
                                 mAttempt->mLease.mConnection,
                                 mAttempt->mMetadata.mKeepAliveTimeout);
+  mWait.RecordFreed();
   mContext.mBalancer.RecordOutcome(mAttempt->mEndpoint.mId,
                                    isFailure ? EndpointOutcome::Failed
                                              : EndpointOutcome::Succeeded);
@@ -576,6 +576,10 @@
   }
   const auto attempt = std::move(mAttempt);
   attempt->mLease.mConnection->Abort();
+  if (aOutcome != EndpointOutcome::Refused &&
+      aOutcome != EndpointOutcome::Unreachable) {
+    mWait.RecordFreed();
+  }
   mContext.mBalancer.RecordOutcome(attempt->mEndpoint.mId, aOutcome);
   mContext.WakeQueued();
 }
--- a/src/gateway/internal/requestwait.cpp
+++ b/src/gateway/internal/requestwait.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/requestwait.h"
 
+#include "framework/log/log.h"
 #include "gateway/returndelay.h"
 
 namespace beryllever::gateway {
@@ -8,6 +9,8 @@
 
 using std::chrono::duration_cast;
 
+constexpr char kLogTag[] = "request";
+
 /** Longest time in the queue for an endpoint. Callers of streams disconnect
  * after 2 s without an event. */
 constexpr milliseconds kMaxQueueTime{ 900 };
@@ -32,12 +35,13 @@
 void
 RequestWait::Begin(const Admission& aAdmission,
                    const std::string& aPool,
-                   std::optional<milliseconds> aTime)
+                   const RequestMetadata& aMetadata)
 {
   mPool = aPool;
+  mRequestId = aMetadata.mRequestId;
   mWorkspace = aAdmission.mWorkspace;
   mPriority = aAdmission.mPriority;
-  milliseconds time = aTime.value_or(kDefaultTimeout);
+  milliseconds time = aMetadata.mRemainingTime.value_or(kDefaultTimeout);
   if (aAdmission.mRoute->mTimeout.count() > 0) {
     time = std::min(time, aAdmission.mRoute->mTimeout);
   }
@@ -45,13 +49,17 @@
   const auto queueTime = std::min(
     kMaxQueueTime, duration_cast<milliseconds>(time * kMaxQueueTimeFraction));
   mWaitDeadline = mArrival + queueTime;
+  if (auto* admission = mContext.FindAdmission(mPool)) {
+    admission->mEstimator.RecordArrival(mPriority);
+  }
 }
 
 bool
 RequestWait::MustQueue() const
 {
-  const AdmissionQueue* queue = mContext.FindAdmissionQueue(mPool);
-  return !IsQueued() && queue != nullptr && queue->MustQueue(mPriority);
+  const PoolAdmission* admission = mContext.FindAdmission(mPool);
+  return !IsQueued() && admission != nullptr &&
+         admission->mQueue.MustQueue(mPriority);
 }
 
 bool
@@ -63,12 +71,16 @@
   if (IsQueued()) {
     return true;
   }
-  mQueue = mContext.FindAdmissionQueue(mPool);
-  if (mQueue != nullptr) {
+  mPoolAdmission = mContext.FindAdmission(mPool);
+  if (mPoolAdmission != nullptr) {
+    if (!aEntry.mIsRetry && IsHopeless(*mPoolAdmission)) {
+      return false;
+    }
     aEntry.mWorkspace = mWorkspace;
     aEntry.mPriority = mPriority;
     aEntry.mDeadline = mWaitDeadline;
-    mQueueId = mQueue->Add(std::move(aEntry));
+    mQueueId = mPoolAdmission->mQueue.Add(std::move(aEntry));
+    mPoolAdmission->mEstimator.SetWaiting(IsQueued());
     mContext.WakeQueued();
     return IsQueued();
   }
@@ -85,9 +97,74 @@
 {
   if (IsQueued()) {
     mQueueId = 0;
-  } else if (auto* queue = mContext.FindAdmissionQueue(mPool)) {
-    queue->RecordPlaced();
+  } else if (auto* admission = mContext.FindAdmission(mPool)) {
+    admission->mQueue.RecordPlaced();
+  }
+}
+
+void
+RequestWait::RecordFreed()
+{
+  if (auto* admission = mContext.FindAdmission(mPool)) {
+    admission->mEstimator.RecordFreed();
+  }
+}
+
+bool
+RequestWait::IsHopeless(const PoolAdmission& aAdmission) const
+{
+  const auto now = mContext.mClock.Now();
+  const auto wait = aAdmission.mEstimator.EstimateWait(
+    mPriority, aAdmission.mQueue.Ahead(mPriority), kArrivalDeviations);
+  if (!wait || now + *wait <= mWaitDeadline) {
+    return false;
+  }
+  RecordRefusal("The request cannot be served in time",
+                "beryllever_hopeless_requests");
+  return true;
+}
+
+void
+RequestWait::RecordRefusal(const std::string& aReason,
+                           const std::string& aCounter) const
+{
+  const auto* admission = mContext.FindAdmission(mPool);
+  if (admission == nullptr) {
+    return;
+  }
+  const auto ahead = admission->mQueue.Ahead(mPriority);
+  const auto left = mWaitDeadline - mContext.mClock.Now();
+  LOGI(aReason << ". request=" << mRequestId << " pool=" << mPool
+               << " priority=" << mPriority
+               << " moreUrgent=" << ahead.mMoreUrgent
+               << " sameClass=" << ahead.mSameClass << " placesPerSecond="
+               << admission->mEstimator.Rate().value_or(0)
+               << " waitLeftMilliseconds="
+               << duration_cast<milliseconds>(left).count()
+               << " milliseconds=" << Elapsed().count());
+  mContext.mMetrics.Count(aCounter,
+                          { { "priority", std::to_string(mPriority) } });
+}
+
+std::optional<milliseconds>
+RequestWait::BookReturn()
+{
+  auto* admission = mContext.FindAdmission(mPool);
+  if (admission == nullptr) {
+    return std::nullopt;
+  }
+  const auto longest =
+    std::max(milliseconds(0), RemainingTime()) / kRetryAfterDivisor;
+  const auto delay = admission->mEstimator.BookReturn(
+    mPriority, admission->mQueue.Ahead(mPriority), longest);
+  if (delay) {
+    return duration_cast<milliseconds>(*delay);
+  }
+  if (admission->mEstimator.Rate()) {
+    // There is no room in time. The caller tries late, and not with all others.
+    return DrawReturnDelay(longest, longest, mContext.mRandom);
   }
+  return std::nullopt;
 }
 
 void
@@ -97,8 +174,8 @@
   if (id == 0) {
     return;
   }
-  if (mQueue != nullptr) {
-    mQueue->Remove(id);
+  if (mPoolAdmission != nullptr) {
+    mPoolAdmission->mQueue.Remove(id);
   } else {
     mContext.Dequeue(id);
   }
--- a/src/gateway/internal/requestwait.h
+++ b/src/gateway/internal/requestwait.h
@@ -16,10 +16,10 @@
 public:
   RequestWait(TrafficContext& aContext, global::TimePoint aArrival);
 
-  /** Sets the deadlines. aTime is the time that the caller states. */
+  /** Sets the deadlines from the route and what the caller states. */
   void Begin(const Admission& aAdmission,
              const std::string& aPool,
-             std::optional<milliseconds> aTime);
+             const RequestMetadata& aMetadata);
   /** Whether the request has to queue even if there is a free place. */
   bool MustQueue() const;
   /** Queues the request, or leaves it in its place in the queue. Returns false
@@ -30,9 +30,17 @@
   /** Id of the queued request; 0 if it is not queued. */
   uint64_t QueueId() const { return mQueueId; }
   /** Whether the request keeps its place in the queue while it tries. */
-  bool KeepsPlace() const { return mQueue != nullptr; }
+  bool KeepsPlace() const { return mPoolAdmission != nullptr; }
   /** Records that the queue has taken the request out. */
   void EndTurn() { mQueueId = 0; }
+  /** Logs and counts that the request is not queued any longer. */
+  void RecordRefusal(const std::string& aReason,
+                     const std::string& aCounter) const;
+  /** Records that an endpoint has completed an attempt of the request. */
+  void RecordFreed();
+  /** Delay after which the caller should return if all endpoints are full;
+   * null if it cannot be estimated. */
+  std::optional<milliseconds> BookReturn();
   /** Records that the request is sent to an endpoint. */
   void RecordPlaced();
   /** Takes the request out of the queue. */
@@ -47,13 +55,16 @@
   milliseconds RetryAfter(bool aWasRefused);
 
 private:
+  /** Whether the request is expected to get a place after its wait limit. */
+  bool IsHopeless(const PoolAdmission& aAdmission) const;
   TrafficContext& mContext;
   const global::TimePoint mArrival;
   std::string mPool;
+  std::string mRequestId;
   std::string mWorkspace;
   int mPriority = 0;
   /** Queue that holds the request; null if the one of all pools does. */
-  AdmissionQueue* mQueue = nullptr;
+  PoolAdmission* mPoolAdmission = nullptr;
   /** Deadline set by the caller, by default 30 s after the arrival, or by the
    * route's timeout, whichever is earlier. */
   global::TimePoint mDeadline{};
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -100,32 +100,41 @@
   for (auto& [order, onTurn] : queue) {
     onTurn();
   }
-  for (auto& [pool, admissionQueue] : mAdmissionQueues) {
-    admissionQueue.Serve();
-    admissionQueue.RefuseExpired(mClock.Now());
+  for (auto& [pool, admission] : mAdmissions) {
+    ServeQueued(admission);
   }
   if (HasQueued() && !mWakeTimer.isActive()) {
     mWakeTimer.start(kRecheckInterval);
   }
 }
 
+void
+TrafficContext::ServeQueued(PoolAdmission& aAdmission)
+{
+  AdmissionQueue& queue = aAdmission.mQueue;
+  queue.Serve();
+  queue.RefuseExpired(mClock.Now());
+  queue.RefuseHopeless(aAdmission.mEstimator, mClock.Now());
+  aAdmission.mEstimator.SetWaiting(queue.Size() > 0);
+}
+
 bool
 TrafficContext::HasQueued() const
 {
-  return !mQueue.empty() || std::any_of(mAdmissionQueues.begin(),
-                                        mAdmissionQueues.end(),
-                                        [](const auto& aQueue) {
-                                          return aQueue.second.Size() > 0;
-                                        });
+  return !mQueue.empty() ||
+         std::any_of(
+           mAdmissions.begin(), mAdmissions.end(), [](const auto& aAdmission) {
+             return aAdmission.second.mQueue.Size() > 0;
+           });
 }
 
-AdmissionQueue*
-TrafficContext::FindAdmissionQueue(const std::string& aPool)
+PoolAdmission*
+TrafficContext::FindAdmission(const std::string& aPool)
 {
   if (!mSnapshot->HasPriorities(aPool)) {
     return nullptr;
   }
-  return &mAdmissionQueues.try_emplace(aPool, kMaxQueuedRequests).first->second;
+  return &mAdmissions.try_emplace(aPool, mClock).first->second;
 }
 
 PoolRetryBudget&
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -21,6 +21,18 @@
  * priorities, and those of all others. */
 constexpr size_t kMaxQueuedRequests = 64;
 
+/** Waiting requests of one pool that has priorities. */
+struct PoolAdmission
+{
+  explicit PoolAdmission(const global::IClock& aClock)
+    : mEstimator(aClock)
+  {
+  }
+
+  AdmissionQueue mQueue{ kMaxQueuedRequests };
+  WaitEstimator mEstimator;
+};
+
 /** State shared by all requests of the traffic thread. */
 class TrafficContext
 {
@@ -38,9 +50,9 @@
   uint64_t Enqueue(int aPriority, std::function<void()> aOnTurn);
   void Dequeue(uint64_t aId);
   size_t QueueSize() const { return mQueue.size(); }
-  /** Queue of a pool whose requests have different priorities, or null.
+  /** State of a pool whose requests have different priorities, or null.
    * Requests of other pools share the queue of Enqueue. */
-  AdmissionQueue* FindAdmissionQueue(const std::string& aPool);
+  PoolAdmission* FindAdmission(const std::string& aPool);
   /** Lets the queued requests try again, the most urgent first. */
   void WakeQueued();
   PoolRetryBudget& RetryBudgetFor(const std::string& aPool);
@@ -62,6 +74,9 @@
 
 private:
   void RetryQueued();
+  /** Serves a pool's waiting requests, and gives up those that cannot be served
+   * in time. */
+  void ServeQueued(PoolAdmission& aAdmission);
   bool HasQueued() const;
 
   SiteLimits mLimits;
@@ -70,7 +85,7 @@
   /** Ordered by priority, then by arrival. */
   std::map<std::pair<int, uint64_t>, std::function<void()>> mQueue;
   uint64_t mLastQueueId = 0;
-  std::map<std::string, AdmissionQueue> mAdmissionQueues;
+  std::map<std::string, PoolAdmission> mAdmissions;
   QTimer mWakeTimer;
   QTimer mSweepTimer;
 };
--- a/src/routing/internal/waitqueue.cpp
+++ b/src/routing/internal/waitqueue.cpp
@@ -4,16 +4,48 @@
 
 namespace beryllever::routing {
 
-WaitQueue::WaitQueue(size_t aMaxSize)
+WaitQueue::WaitQueue(size_t aMaxSize, size_t aKeptOfLowest)
   : mMaxSize(aMaxSize)
+  , mKeptOfLowest(aKeptOfLowest)
 {
 }
 
+size_t
+WaitQueue::SizeOf(int aPriority) const
+{
+  const auto it = mClasses.find(aPriority);
+  size_t size = 0;
+  if (it != mClasses.end()) {
+    for (const auto& [workspace, queue] : it->second.mWorkspaces) {
+      size += queue.mRequests.size();
+    }
+  }
+  return size;
+}
+
+bool
+WaitQueue::IsKept(const QueuedRequest& aRequest) const
+{
+  const bool isLowest =
+    mClasses.empty() || aRequest.mPriority <= mClasses.rbegin()->first;
+  return isLowest && SizeOf(aRequest.mPriority) < mKeptOfLowest;
+}
+
+bool
+WaitQueue::IsFull() const
+{
+  const size_t kept =
+    mClasses.empty()
+      ? 0
+      : std::min(mKeptOfLowest, SizeOf(mClasses.rbegin()->first));
+  return mSize - kept >= mMaxSize;
+}
+
 std::optional<QueuedRequest>
 WaitQueue::Push(QueuedRequest aRequest)
 {
   std::optional<QueuedRequest> shed;
-  if (mSize >= mMaxSize) {
+  if (IsFull() && !IsKept(aRequest)) {
     shed = ShedRequestFor(aRequest);
     if (shed && shed->mId == aRequest.mId) {
       return shed;
@@ -108,7 +140,10 @@
 std::optional<QueuedRequest>
 WaitQueue::ShedRequestFor(const QueuedRequest& aRequest)
 {
-  const auto lowest = std::prev(mClasses.end());
+  auto lowest = std::prev(mClasses.end());
+  if (lowest != mClasses.begin() && SizeOf(lowest->first) <= mKeptOfLowest) {
+    --lowest;
+  }
   if (aRequest.mPriority < lowest->first) {
     return aRequest;
   }
--- a/src/routing/waitqueue.h
+++ b/src/routing/waitqueue.h
@@ -32,7 +32,9 @@
 class WaitQueue
 {
 public:
-  explicit WaitQueue(size_t aMaxSize);
+  /** aKeptOfLowest requests of the lowest priority are neither shed for others
+   * nor counted, so that others do not keep that priority out of the queue. */
+  explicit WaitQueue(size_t aMaxSize, size_t aKeptOfLowest = 0);
 
   /**
    * Adds a request. If the queue is full, returns the request that is shed for
@@ -75,6 +77,10 @@
   };
   using Classes = std::map<int, PriorityClass, std::greater<>>;
 
+  size_t SizeOf(int aPriority) const;
+  /** Whether the request is among those kept of the lowest priority. */
+  bool IsKept(const QueuedRequest& aRequest) const;
+  bool IsFull() const;
   /** Sheds a request in favour of a new one, or rejects the new one. */
   std::optional<QueuedRequest> ShedRequestFor(const QueuedRequest& aRequest);
   bool Remove(uint64_t aId, bool aIsServed);
@@ -82,6 +88,7 @@
   void EraseIfEmpty(Classes::iterator aClass, const std::string& aWorkspace);
 
   const size_t mMaxSize;
+  const size_t mKeptOfLowest;
   size_t mSize = 0;
   mutable Classes mClasses;
 };
