--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -87,7 +87,7 @@
 void
 TrafficContext::WakeQueued()
 {
-  if (!mQueue.empty()) {
+  if (HasQueued()) {
     mWakeTimer.start(0);
   }
 }
@@ -100,6 +100,41 @@
   for (auto& [order, onTurn] : queue) {
     onTurn();
   }
+  for (auto& [pool, admission] : mAdmissions) {
+    ServeQueued(admission);
+  }
+  if (HasQueued() && !mWakeTimer.isActive()) {
+    mWakeTimer.start(kRecheckInterval);
+  }
+}
+
+void
+TrafficContext::ServeQueued(PoolAdmission& aAdmission)
+{
+  AdmissionQueue& queue = aAdmission.mQueue;
+  queue.Serve();
+  queue.RefuseExpired(mClock.Now());
+  queue.RefuseHopeless(aAdmission.mEstimator, mClock.Now());
+  aAdmission.mEstimator.SetWaiting(queue.Size() > 0);
+}
+
+bool
+TrafficContext::HasQueued() const
+{
+  return !mQueue.empty() ||
+         std::any_of(
+           mAdmissions.begin(), mAdmissions.end(), [](const auto& aAdmission) {
+             return aAdmission.second.mQueue.Size() > 0;
+           });
+}
+
+PoolAdmission*
+TrafficContext::FindAdmission(const std::string& aPool)
+{
+  if (!mSnapshot->HasPriorities(aPool)) {
+    return nullptr;
+  }
+  return &mAdmissions.try_emplace(aPool, mClock).first->second;
 }
 
 PoolRetryBudget&
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/metrics/metrics.h"
+#include "gateway/admissionqueue.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
 #include "gateway/internal/promptguard.h"
@@ -16,6 +17,22 @@
 
 namespace beryllever::gateway {
 
+/** Requests that may be queued in one gateway: those of each pool that has
+ * priorities, and those of all others. */
+constexpr size_t kMaxQueuedRequests = 64;
+
+/** Waiting requests of one pool that has priorities. */
+struct PoolAdmission
+{
+  explicit PoolAdmission(const global::IClock& aClock)
+    : mEstimator(aClock)
+  {
+  }
+
+  AdmissionQueue mQueue{ kMaxQueuedRequests };
+  WaitEstimator mEstimator;
+};
+
 /** State shared by all requests of the traffic thread. */
 class TrafficContext
 {
@@ -33,6 +50,9 @@
   uint64_t Enqueue(int aPriority, std::function<void()> aOnTurn);
   void Dequeue(uint64_t aId);
   size_t QueueSize() const { return mQueue.size(); }
+  /** State of a pool whose requests have different priorities, or null.
+   * Requests of other pools share the queue of Enqueue. */
+  PoolAdmission* FindAdmission(const std::string& aPool);
   /** Lets the queued requests try again, the most urgent first. */
   void WakeQueued();
   PoolRetryBudget& RetryBudgetFor(const std::string& aPool);
@@ -54,6 +74,10 @@
 
 private:
   void RetryQueued();
+  /** Serves a pool's waiting requests, and gives up those that cannot be served
+   * in time. */
+  void ServeQueued(PoolAdmission& aAdmission);
+  bool HasQueued() const;
 
   SiteLimits mLimits;
   int mGatewayCount = 1;
@@ -61,6 +85,7 @@
   /** Ordered by priority, then by arrival. */
   std::map<std::pair<int, uint64_t>, std::function<void()>> mQueue;
   uint64_t mLastQueueId = 0;
+  std::map<std::string, PoolAdmission> mAdmissions;
   QTimer mWakeTimer;
   QTimer mSweepTimer;
 };
