Refuse the largest unfinished request when too many bytes are held

A body counts against limits.heldBytes from its head on, and what did not fit was refused. A few clients whose bodies stop thus kept every other request out for as long as a body may take.

Refuse with 503 the requests that have not arrived whole and hold more than the new one, the largest first, until it fits; they have not been passed on. A refused request frees its input and its share of the limit at once.

Two more tests show that the largest request and trailers of the size of a head are served.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -82,6 +82,9 @@
   /** Whether a part of a request has arrived. */
   bool IsReceiving() const { return mHasHead || !mInput.empty(); }
   bool IsOpen() const { return mSocket->IsOpen(); }
+  /** Refuses with 503 a request that has not been handed on yet, frees what has
+   * arrived of it, and closes the connection. */
+  void RefuseUnfinished();
   /** Closes in order a connection that has no request, once its last answer is
    * written. */
   void Close();
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -21,6 +21,7 @@
 /** Longest time that a peer may take to read the rest of its last answer.
  * Longer than callers wait for one. */
 constexpr std::chrono::milliseconds kMaxCloseTime{ 30000 };
+constexpr char kTooManyBytes[] = "too many bytes of requests are held";
 /** When a peer had best come back whose request could not be held. */
 constexpr char kRetryAfterSeconds[] = "1";
 
@@ -160,7 +161,7 @@
       return;
     }
     if (mHasHead && !MayHoldBody()) {
-      RefuseWith(503, "too many bytes of requests are held");
+      RefuseWith(503, kTooManyBytes);
       return;
     }
     if (mParser->is_done()) {
@@ -238,6 +239,7 @@
   mHasRequest = true;
   mIsClosing = true;
   mInput = std::string();
+  mParser.reset();
   if (mHandlers.mOnRefused) {
     mHandlers.mOnRefused(aStatus, aReason);
   }
@@ -248,6 +250,14 @@
   Answer(aStatus, std::move(fields), aReason);
 }
 
+void
+HttpServerConnection::RefuseUnfinished()
+{
+  if (!mHasRequest && mSocket->IsOpen()) {
+    RefuseWith(503, kTooManyBytes);
+  }
+}
+
 bool
 HttpServerConnection::MayHoldBody()
 {
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -93,7 +93,10 @@
            .mMayHold =
              [this, aId](size_t aBytes) { return ReserveBytes(aId, aBytes); },
            .mOnRefused =
-             [this](unsigned aStatus, const std::string& aReason) {
+             [this, aId](unsigned aStatus, const std::string& aReason) {
+               if (const auto it = mCallers.find(aId); it != mCallers.end()) {
+                 ReleaseBytes(it->second);
+               }
                LOGW("Request cannot be taken. status=" << aStatus << " reason="
                                                        << aReason);
                mContext.mMetrics.Count(
@@ -150,10 +153,15 @@
 {
   const auto it = mCallers.find(aId);
   const auto bytes = static_cast<int64_t>(aBytes);
-  if (it == mCallers.end() ||
-      mReservedBytes + bytes > mContext.Limits().mMaxBufferedBytes) {
+  const int64_t limit = mContext.Limits().mMaxBufferedBytes;
+  if (it == mCallers.end() || bytes > limit) {
     return false;
   }
+  while (mReservedBytes + bytes > limit) {
+    if (!RefuseHeaviest(it->second.mReservedBytes + bytes)) {
+      return false;
+    }
+  }
   it->second.mReservedBytes += bytes;
   mReservedBytes += bytes;
   mContext.mMetrics.Set("beryllever_held_request_bytes",
@@ -161,6 +169,31 @@
   return true;
 }
 
+bool
+TrafficCore::RefuseHeaviest(int64_t aBytes)
+{
+  const Caller* heaviest = nullptr;
+  for (const auto& [id, caller] : mCallers) {
+    if (!caller.mExchange && !caller.mConnection->HasRequest() &&
+        caller.mReservedBytes > aBytes &&
+        (heaviest == nullptr ||
+         caller.mReservedBytes > heaviest->mReservedBytes)) {
+      heaviest = &caller;
+    }
+  }
+  if (heaviest == nullptr) {
+    return false;
+  }
+  LOGW("Refused the largest unfinished request to make room. heldBytes="
+       << heaviest->mReservedBytes << " neededBytes=" << aBytes
+       << " allHeldBytes=" << mReservedBytes);
+  mContext.mMetrics.Count("beryllever_displaced_unfinished_requests", {});
+  // The refusal may remove the caller.
+  const auto connection = heaviest->mConnection;
+  connection->RefuseUnfinished();
+  return true;
+}
+
 void
 TrafficCore::ReleaseBytes(Caller& aCaller)
 {
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -61,9 +61,14 @@
   /** Notes an answer that the caller does not get whole, although its request
    * has ended. */
   static void LogUndelivered(const Caller& aCaller, size_t aBytes);
-  /** Reserves bytes for the body of a caller's request. Returns false if the
-   * limit would be exceeded. */
+  /** Reserves bytes for the body of a caller's request. Beyond the limit,
+   * requests that have not arrived whole and hold more than this one are
+   * refused first, so that bodies that stop do not keep small requests out.
+   * Returns false if the limit would still be exceeded. */
   bool ReserveBytes(uint64_t aId, size_t aBytes);
+  /** Refuses the request that holds most of those that have not arrived whole.
+   * Returns false if none holds more than so many bytes. */
+  bool RefuseHeaviest(int64_t aBytes);
   void ReleaseBytes(Caller& aCaller);
   net::ServerLimits ConnectionLimits() const;
 
