Keep a zone out of service for 10 s after the store was restored

Cause: zones out of service that the copy lacked came back after 2.2 s, the time in which endpoints register again. Operators write their items again as well, but not within a stated time, and a zone that takes requests before that breaks what they were promised.

Change: the items of an older era are removed after 2.2 s, zones after 10 s.

--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -14,6 +14,10 @@
  * within about two seconds of the end of an outage, also if the store was
  * restored from a copy that lacks them. */
 constexpr std::chrono::milliseconds kReregistrationTime{ 2200 };
+/** Time for which a zone stays out of service that a restored store lacks.
+ * Operators write it again, but not within a stated time; a zone that takes
+ * requests too early costs more than one that takes none for too long. */
+constexpr std::chrono::seconds kZoneRewriteTime{ 10 };
 
 }
 
@@ -113,22 +117,49 @@
   // Changes since a position of an older era are not known.
   mTombstonesSince = aPosition;
   mOldErasUntil = mClock.Now() + kReregistrationTime;
+  mOldZonesUntil = mClock.Now() + kZoneRewriteTime;
 }
 
 bool
 PublishedState::ExpireOldEras()
 {
-  if (!mOldErasUntil || *mOldErasUntil > mClock.Now()) {
-    return false;
+  const auto now = mClock.Now();
+  bool isChanged = false;
+  if (mOldErasUntil && *mOldErasUntil <= now) {
+    mOldErasUntil.reset();
+    isChanged = RemoveOldItems(&PublishedState::IsOldItem);
   }
-  mOldErasUntil.reset();
+  if (mOldZonesUntil && *mOldZonesUntil <= now) {
+    mOldZonesUntil.reset();
+    isChanged = RemoveOldItems(&PublishedState::IsOldZone) || isChanged;
+  }
+  return isChanged;
+}
+
+bool
+PublishedState::IsOldZone(const Record& aRecord) const
+{
+  return aRecord.mPosition.mEra != mPosition.mEra &&
+         mOutZonesByKey.contains(aRecord.mKey);
+}
+
+bool
+PublishedState::IsOldItem(const Record& aRecord) const
+{
+  // The configuration in force is never removed, and peers that start later
+  // need it.
+  return aRecord.mPosition.mEra != mPosition.mEra && !IsOldZone(aRecord) &&
+         aRecord.mKey != mConfigurationRecord.mKey;
+}
+
+bool
+PublishedState::RemoveOldItems(bool (PublishedState::*aIsOld)(const Record&)
+                                 const)
+{
   bool isChanged = false;
   for (auto it = mRecords.begin(); it != mRecords.end();) {
     const auto& [key, record] = *it;
-    // The configuration in force is never removed, and peers that start later
-    // need it.
-    if (record.mPosition.mEra == mPosition.mEra ||
-        key == mConfigurationRecord.mKey) {
+    if (!(this->*aIsOld)(record)) {
       ++it;
       continue;
     }
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -51,6 +51,11 @@
   /** Items of older eras stay in force from now on for a limited time. */
   void BeginEra(const StorePosition& aPosition);
   bool ExpireOldEras();
+  /** Whether the item is of an older era: a zone out of service, or any other
+   * item but the configuration in force. */
+  bool IsOldZone(const Record& aRecord) const;
+  bool IsOldItem(const Record& aRecord) const;
+  bool RemoveOldItems(bool (PublishedState::*aIsOld)(const Record&) const);
   bool ApplyRecord(const Record& aRecord);
   bool ApplyConfiguration(const Record& aRecord, Configuration aConfiguration);
   bool ApplyEndpoint(const std::string& aKey, const Endpoint& aEndpoint);
@@ -72,6 +77,8 @@
   /** Time until which items of older eras stay in force; not set if there are
    * none left. */
   std::optional<global::TimePoint> mOldErasUntil;
+  /** The same for zones out of service. */
+  std::optional<global::TimePoint> mOldZonesUntil;
   /** Configuration in force as it was written. Its key is empty if there is
    * none. */
   Record mConfigurationRecord;
--- a/src/published/tests/publishedstatetest.cpp
+++ b/src/published/tests/publishedstatetest.cpp
@@ -240,10 +240,24 @@
   CHECK(mState.ExpireRemovals());
   CHECK(Has("x"));
   CHECK_FALSE(Has("y"));
-  CHECK(mState.Current()->OutZones().empty());
   LONGS_EQUAL(7, mState.Current()->Version());
 }
 
+/** Guards against requests to a zone that operators have taken out of service,
+ * before they write that again. */
+TEST(PublishedState, KeepsAZoneOutForLongerThanAnEndpoint)
+{
+  ListOldEra(mState);
+  mState.ApplyListing({}, { 1, 40 });
+
+  mClock.Advance(std::chrono::milliseconds(9900));
+  mState.ExpireRemovals();
+  CHECK(mState.Current()->OutZones().contains("a"));
+  mClock.Advance(std::chrono::milliseconds(200));
+  CHECK(mState.ExpireRemovals());
+  CHECK(mState.Current()->OutZones().empty());
+}
+
 /** Guards against the removal of items that their owners have written again,
  * and against a listing of the new era that removes the others early. */
 TEST(PublishedState, KeepsWhatIsWrittenAgainInTheNewEra)
@@ -346,8 +360,10 @@
   CHECK(peer.Current()->FindEndpoint("y")->mState == EndpointState::Leaving);
   CHECK(peer.Current()->OutZones().contains("a"));
   mClock.Advance(std::chrono::milliseconds(2300));
-  CHECK(peer.ExpireRemovals());
+  peer.ExpireRemovals();
   CHECK(peer.Current()->FindEndpoint("x") != nullptr);
+  mClock.Advance(std::chrono::seconds(8));
+  CHECK(peer.ExpireRemovals());
   CHECK(peer.Current()->OutZones().empty());
 }
 
@@ -367,6 +383,10 @@
 
   CHECK(late.Current()->FindEndpoint("x") != nullptr);
   CHECK_FALSE(Has("x"));
+  mClock.Advance(std::chrono::seconds(8));
+  mState.ExpireRemovals();
+  late.ApplyListing({}, { 1, 60 });
+  mState.Apply(late.RecordsSince(mState.Position()));
   CHECK(mState.Current()->OutZones().empty());
 }
 
