Let a lead name the next pass that it can reach

Cause: each lead could name only every fourth pass (its rank modulo 4), so a change of the map waited for 3.5 passes on average where 2 are enough. After a shift of demand, passes take 0.15 to 0.2 s until the new map is in force, and each stream that runs meanwhile has a pause that is too long. With a slow rank (1.4 s a pass) a change waited for 5 s.

Change: any lead may name any pass. Leads four ranks apart could name the same pass before.

Measured: the exploration of two leads that may name the same pass finds no pass with two maps (rankagent_test, 53 tests, 101 s), and still finds the four planted faults.

--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -564,7 +564,7 @@
   for (const auto& sample : mSampler.All()) {
     step = std::max(step, sample->mState.mStep + kMinPassesAhead - 1);
   }
-  return StepAbove(step, mLocalRank->mRank);
+  return step + 1;
 }
 
 void
--- a/src/rankagent/internal/mapchange.cpp
+++ b/src/rankagent/internal/mapchange.cpp
@@ -14,11 +14,6 @@
 constexpr uint64_t kMaxRanks = 1024;
 /** Number of distinct leader incarnations per rank. */
 constexpr uint64_t kIncarnations = 16384;
-/** Passes are allotted to leaders round-robin, by rank modulo this number, so
- * that leaders never use the same pass. The number is small because a leader
- * waits for its next slot; only leaders whose ranks differ by a multiple of it
- * can collide. */
-constexpr uint64_t kPassSlots = 4;
 
 /** Highest version that the rank is seen to have had. */
 uint64_t
@@ -43,14 +38,6 @@
   return (aHighest / kTags + 1) * kTags + aTag;
 }
 
-uint64_t
-StepAbove(uint64_t aHighest, size_t aLeaderRank)
-{
-  const uint64_t slot = aLeaderRank % kPassSlots;
-  const uint64_t step = aHighest / kPassSlots * kPassSlots + slot;
-  return step > aHighest ? step : step + kPassSlots;
-}
-
 MapChange::MapChange(const ChangePlan& aPlan, std::vector<RankState> aStates)
   : mPlan(aPlan)
   , mRankStates(std::move(aStates))
--- a/src/rankagent/mapchange.h
+++ b/src/rankagent/mapchange.h
@@ -55,11 +55,6 @@
 uint64_t
 VersionAbove(uint64_t aHighest, uint64_t aTag);
 
-/** Returns the next pass that a leader may use. Leaders of nearby ranks never
- * use the same pass. */
-uint64_t
-StepAbove(uint64_t aHighest, size_t aLeaderRank);
-
 /**
  * State machine that switches the ranks of a group to a prepared map, or clears
  * a switch that another leader has begun. Orders may stay unanswered and be
--- a/src/rankagent/tests/mapchangetest.cpp
+++ b/src/rankagent/tests/mapchangetest.cpp
@@ -165,8 +165,6 @@
     first.mLostAnswersLeft = mLimits.mMaxLostAnswers;
     first.mCrashesLeft = mLimits.mMaxCrashes;
     first.mLaggingReadsLeft = mLimits.mMaxLaggingReads;
-    // The next pass is the first one that the first leader may use.
-    first.mStep = StepAbove(0, 0) - 1;
     // The first leader's map is prepared on all ranks.
     uint32_t number = 0;
     for (RankState& rank : first.mRanks) {
@@ -306,8 +304,7 @@
       plan.mIsReleaseOnly = own != 0 && own == leader.mReleasedStep;
     } else if (isPrepared && !leader.mHasBegun) {
       plan.mVersion = VersionAbove(0, aLeader);
-      plan.mStep = StepAbove(
-        std::max(reads[aLeader].mStep, leader.mHighestUsedStep), aLeader);
+      plan.mStep = std::max(reads[aLeader].mStep, leader.mHighestUsedStep) + 1;
       leader.mHasBegun = true;
     } else {
       Push(std::move(state));
@@ -370,9 +367,7 @@
   /** State of a rank before the map was prepared. */
   static RankState LaggingState(size_t aRank)
   {
-    return { .mRank = static_cast<uint32_t>(aRank),
-             .mStep = StepAbove(0, 0) - 1,
-             .mMayLag = true };
+    return { .mRank = static_cast<uint32_t>(aRank), .mMayLag = true };
   }
 
   void FinishRead(SystemState aState,
