--- a/src/gateway/admissionqueue.h
+++ b/src/gateway/admissionqueue.h
@@ -65,6 +65,9 @@
   /** Whether an arriving request has to queue, because a request that is as
    * urgent waits or the next place is the least urgent class's. */
   bool MustQueue(int aPriority) const;
+  /** Whether the next place is due to this class, the least urgent that waits.
+   */
+  bool IsDue(int aPriority) const;
   /** Records that a request got a place without waiting. */
   void RecordPlaced();
   size_t Size() const { return mEntries.size(); }
--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -46,10 +46,11 @@
 {
   PlacementStatus mStatus = PlacementStatus::NoneUsable;
   const published::Endpoint* mEndpoint = nullptr;
-  /** Whether all endpoints with room keep it for more urgent requests. */
+  /** Whether an endpoint has room that it keeps for more urgent requests; only
+   * with AtCapacity. */
   bool mIsReserved = false;
-  /** Whether endpoints have room beyond this gateway's share without reports.
-   */
+  /** Whether an endpoint has room beyond this gateway's share without reports;
+   * only with AtCapacity. */
   bool mIsBeyondShare = false;
 };
 
--- a/src/gateway/endpointloadtable.h
+++ b/src/gateway/endpointloadtable.h
@@ -9,6 +9,9 @@
 
 namespace beryllever::gateway {
 
+/** Age beyond which a report no longer reflects the current load. */
+constexpr std::chrono::milliseconds kMaxReportAge{ 800 };
+
 /** Load of an endpoint as reported by its agent. */
 struct LoadReport
 {
--- a/src/gateway/internal/admissionqueue.cpp
+++ b/src/gateway/internal/admissionqueue.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/** One place in so many goes to the least urgent class that waits. */
-constexpr int kPlacesPerLowest = 10;
+/** Part of the queue, as a divisor, that is kept for the least urgent class, so
+ * that more urgent requests do not displace all of it. */
+constexpr size_t kQueuePerLowest = 10;
 
 /** A waiting request is given up only if its wait would be too long in spite of
  * usual fluctuation, not for a brief pause. */
@@ -32,7 +33,7 @@
 
 AdmissionQueue::AdmissionQueue(size_t aMaxSize)
   : mMaxSize(aMaxSize)
-  , mQueue(aMaxSize, aMaxSize / kPlacesPerLowest)
+  , mQueue(aMaxSize, aMaxSize / kQueuePerLowest)
 {
 }
 
@@ -208,6 +209,13 @@
          (mCounts.begin()->first <= aPriority || IsLowestDue());
 }
 
+bool
+AdmissionQueue::IsDue(int aPriority) const
+{
+  return IsLowestDue() && !mCounts.empty() &&
+         aPriority >= mCounts.rbegin()->first;
+}
+
 void
 AdmissionQueue::RecordPlaced()
 {
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -181,7 +181,8 @@
 ReservationScope
 EndpointBalancer::ScopeFor(size_t aEndpoints) const
 {
-  // The number of gateways that may be running would reserve too much.
+  // mCount is the upper bound by which limits are divided; a reservation for so
+  // many gateways would be too large.
   return { std::max<size_t>(1, mColdLimiter.Fleet().mNames.size()),
            aEndpoints };
 }
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -118,9 +118,10 @@
     WaitForEndpoint();
     return;
   }
-  const PlacementRequest request{
-    mPool, mContext.mAvailabilityZone, mTriedEndpoints, mAdmission.mPriority
-  };
+  const PlacementRequest request{ mPool,
+                                  mContext.mAvailabilityZone,
+                                  mTriedEndpoints,
+                                  mWait.PlacementPriority() };
   const Placement placement =
     mContext.mBalancer.Choose(*mContext.mSnapshot, request);
   if (placement.mStatus == PlacementStatus::Chosen) {
@@ -171,8 +172,8 @@
 Exchange::TryPlaceQueued()
 {
   const uint64_t id = mWait.QueueId();
-  if (!mWait.KeepsPlace()) {
-    mWait.EndTurn();
+  if (!mWait.StaysQueuedWhileTrying()) {
+    mWait.ClearQueueId();
   }
   PlaceRequest();
   return mWait.QueueId() != id;
@@ -181,7 +182,7 @@
 void
 Exchange::HandleQueueRefusal(QueueRefusal aRefusal)
 {
-  mWait.EndTurn();
+  mWait.ClearQueueId();
   if (aRefusal == QueueRefusal::Displaced) {
     mWait.RecordRefusal(
       "A more urgent request took the place in the full queue",
--- a/src/gateway/internal/requestwait.cpp
+++ b/src/gateway/internal/requestwait.cpp
@@ -21,6 +21,8 @@
 /** Multiple of the group form time after which a group that refuses requests
  * probably accepts them again: it stalls before it starts to form. */
 constexpr int kGroupFormTimeFactor = 2;
+/** Priority of requests for which no places are reserved. */
+constexpr int kHighestPriority = 0;
 /** Callers follow Retry-After up to the remaining time divided by this. */
 constexpr int kRetryAfterDivisor = 3;
 
@@ -57,9 +59,13 @@
 bool
 RequestWait::MustQueue() const
 {
+  // A request that may not wait any longer, such as a late retry, takes a free
+  // place or fails.
+  if (IsQueued() || mContext.mClock.Now() >= mWaitDeadline) {
+    return false;
+  }
   const PoolAdmission* admission = mContext.FindAdmission(mPool);
-  return !IsQueued() && admission != nullptr &&
-         admission->mQueue.MustQueue(mPriority);
+  return admission != nullptr && admission->mQueue.MustQueue(mPriority);
 }
 
 bool
@@ -74,13 +80,15 @@
   mPoolAdmission = mContext.FindAdmission(mPool);
   if (mPoolAdmission != nullptr) {
     if (!aEntry.mIsRetry && IsHopeless(*mPoolAdmission)) {
+      RecordRefusal("The request cannot be served in time",
+                    "beryllever_hopeless_requests");
       return false;
     }
     aEntry.mWorkspace = mWorkspace;
     aEntry.mPriority = mPriority;
     aEntry.mDeadline = mWaitDeadline;
     mQueueId = mPoolAdmission->mQueue.Add(std::move(aEntry));
-    mPoolAdmission->mEstimator.SetWaiting(IsQueued());
+    mPoolAdmission->mEstimator.SetWaiting(mPoolAdmission->mQueue.Size() > 0);
     mContext.WakeQueued();
     return IsQueued();
   }
@@ -92,6 +100,14 @@
   return true;
 }
 
+int
+RequestWait::PlacementPriority() const
+{
+  const PoolAdmission* admission = mContext.FindAdmission(mPool);
+  const bool isDue = admission != nullptr && admission->mQueue.IsDue(mPriority);
+  return isDue ? kHighestPriority : mPriority;
+}
+
 void
 RequestWait::RecordPlaced()
 {
@@ -116,12 +132,7 @@
   const auto now = mContext.mClock.Now();
   const auto wait = aAdmission.mEstimator.EstimateWait(
     mPriority, aAdmission.mQueue.Ahead(mPriority), kArrivalDeviations);
-  if (!wait || now + *wait <= mWaitDeadline) {
-    return false;
-  }
-  RecordRefusal("The request cannot be served in time",
-                "beryllever_hopeless_requests");
-  return true;
+  return wait && now + *wait > mWaitDeadline;
 }
 
 void
--- a/src/gateway/internal/requestwait.h
+++ b/src/gateway/internal/requestwait.h
@@ -22,21 +22,26 @@
              const RequestMetadata& aMetadata);
   /** Whether the request has to queue even if there is a free place. */
   bool MustQueue() const;
+  /** Priority by which an endpoint is chosen: the highest if the next place is
+   * due to the request's class, so that reserved places do not withhold it. */
+  int PlacementPriority() const;
   /** Queues the request, or leaves it in its place in the queue. Returns false
-   * if it has waited too long or the queue is full. aEntry states how it is
-   * placed and refused. */
+   * if it has waited too long, the queue is full, or it is not expected to be
+   * served in time. aEntry states how it is placed and refused; in pools
+   * without priorities mOnRefused is not used. */
   bool TryEnqueue(AdmissionEntry aEntry);
   bool IsQueued() const { return mQueueId != 0; }
   /** Id of the queued request; 0 if it is not queued. */
   uint64_t QueueId() const { return mQueueId; }
   /** Whether the request keeps its place in the queue while it tries. */
-  bool KeepsPlace() const { return mPoolAdmission != nullptr; }
+  bool StaysQueuedWhileTrying() const { return mPoolAdmission != nullptr; }
   /** Records that the queue has taken the request out. */
-  void EndTurn() { mQueueId = 0; }
-  /** Logs and counts that the request is not queued any longer. */
+  void ClearQueueId() { mQueueId = 0; }
+  /** Logs and counts a refusal by the queue or by the estimate. Does nothing
+   * in pools without priorities. */
   void RecordRefusal(const std::string& aReason,
                      const std::string& aCounter) const;
-  /** Records that an endpoint has completed an attempt of the request. */
+  /** Records that an attempt of the request has ended at an endpoint. */
   void RecordFreed();
   /** Delay after which the caller should return if all endpoints are full;
    * null if it cannot be estimated. */
@@ -57,6 +62,7 @@
 private:
   /** Whether the request is expected to get a place after its wait limit. */
   bool IsHopeless(const PoolAdmission& aAdmission) const;
+
   TrafficContext& mContext;
   const global::TimePoint mArrival;
   std::string mPool;
--- a/src/gateway/internal/slowranklimit.cpp
+++ b/src/gateway/internal/slowranklimit.cpp
@@ -10,8 +10,6 @@
 
 constexpr char kLogTag[] = "balancer";
 
-/** Age beyond which a report no longer limits its endpoint. */
-constexpr milliseconds kMaxReportAge{ 800 };
 /** Slowdown from which a rank gets no requests. */
 constexpr double kSlowFrom = 2;
 /** Slowdown below which a slow rank gets requests again. Lower than kSlowFrom,
@@ -34,8 +32,8 @@
 void
 SlowRankLimit::RecordReport(const std::string& aEndpoint, double aSlowdown)
 {
-  const Rank* previous = Find(aEndpoint);
-  const bool wasSlow = previous != nullptr && previous->mIsSlow;
+  const auto previous = mRanks.find(aEndpoint);
+  const bool wasSlow = previous != mRanks.end() && previous->second.mIsSlow;
   const bool isSlow = aSlowdown >= (wasSlow ? kSlowUntil : kSlowFrom);
   if (isSlow != wasSlow) {
     LOGI("An endpoint " << (isSlow ? "has become slow" : "is no longer slow")
--- a/src/gateway/internal/startshare.cpp
+++ b/src/gateway/internal/startshare.cpp
@@ -14,8 +14,9 @@
 /** Time for which reports are waited for. A pool without any report for longer
  * is taken to have no agents. */
 constexpr std::chrono::seconds kMaxStart{ 30 };
-/** Time without any report after which a pool starts again. Longer than the
- * agents are usually cut off from a gateway by lost packets. */
+/** Time since a request last saw a report of the pool after which the pool
+ * starts again. Longer than the agents are usually cut off from a gateway by
+ * lost packets. */
 constexpr std::chrono::seconds kMaxTimeWithoutReports{ 3 };
 /** Part of the endpoints whose reports end the start. */
 constexpr double kReportedAtEnd = 0.75;
@@ -42,7 +43,9 @@
     LOGI("Load reports have stopped; the share applies. pool=" << aPool);
     start = { true, now + kMaxStart, {} };
   }
-  if (start.mIsStarting && reported >= kReportedAtEnd) {
+  const bool hasEnded = reported >= kReportedAtEnd ||
+                        (aReported > 0 && now >= start.mExpectedUntil);
+  if (start.mIsStarting && hasEnded) {
     LOGI("Load reports have arrived; normal limits apply. pool=" << aPool);
     start.mIsStarting = false;
   }
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -158,7 +158,7 @@
     return false;
   }
   while (mReservedBytes + bytes > limit) {
-    if (!RefuseHeaviest(it->second.mReservedBytes + bytes)) {
+    if (!RefuseLargestUnfinished(it->second.mReservedBytes + bytes)) {
       return false;
     }
   }
@@ -170,28 +170,30 @@
 }
 
 bool
-TrafficCore::RefuseHeaviest(int64_t aBytes)
+TrafficCore::RefuseLargestUnfinished(int64_t aMinHeldBytes)
 {
-  const Caller* heaviest = nullptr;
+  const Caller* largest = nullptr;
   for (const auto& [id, caller] : mCallers) {
     if (!caller.mExchange && !caller.mConnection->HasRequest() &&
-        caller.mReservedBytes > aBytes &&
-        (heaviest == nullptr ||
-         caller.mReservedBytes > heaviest->mReservedBytes)) {
-      heaviest = &caller;
+        caller.mReservedBytes > aMinHeldBytes &&
+        (largest == nullptr ||
+         caller.mReservedBytes > largest->mReservedBytes)) {
+      largest = &caller;
     }
   }
-  if (heaviest == nullptr) {
+  if (largest == nullptr) {
     return false;
   }
   LOGW("Refused the largest unfinished request to make room. heldBytes="
-       << heaviest->mReservedBytes << " neededBytes=" << aBytes
+       << largest->mReservedBytes << " requesterBytes=" << aMinHeldBytes
        << " allHeldBytes=" << mReservedBytes);
   mContext.mMetrics.Count("beryllever_displaced_unfinished_requests", {});
   // The refusal may remove the caller.
-  const auto connection = heaviest->mConnection;
+  const auto connection = largest->mConnection;
+  const int64_t before = mReservedBytes;
   connection->RefuseUnfinished();
-  return true;
+  // False if nothing was freed, so that the loop of the caller ends.
+  return mReservedBytes < before;
 }
 
 void
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -67,8 +67,9 @@
    * Returns false if the limit would still be exceeded. */
   bool ReserveBytes(uint64_t aId, size_t aBytes);
   /** Refuses the request that holds most of those that have not arrived whole.
-   * Returns false if none holds more than so many bytes. */
-  bool RefuseHeaviest(int64_t aBytes);
+   * Returns false if none holds more than so many bytes, or nothing was freed.
+   */
+  bool RefuseLargestUnfinished(int64_t aMinHeldBytes);
   void ReleaseBytes(Caller& aCaller);
   net::ServerLimits ConnectionLimits() const;
 
--- a/src/gateway/internal/waitestimator.cpp
+++ b/src/gateway/internal/waitestimator.cpp
@@ -15,9 +15,8 @@
 /** Completions without which nothing is estimated: with 20, the standard error
  * of the rate is below a quarter. */
 constexpr size_t kMinFreed = 20;
-/** Part of the places that the least urgent class gets; AdmissionQueue gives
- * it one in ten. */
-constexpr double kLowestShare = 0.1;
+/** Part of the places that the least urgent class gets. */
+constexpr double kLowestShare = 1.0 / kPlacesPerLowest;
 /** Estimate for a class that gets no places. */
 constexpr std::chrono::seconds kLongestWait{ 60 };
 
--- a/src/gateway/slowranklimit.h
+++ b/src/gateway/slowranklimit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/global/iclock.h"
+#include "gateway/endpointloadtable.h"
 #include "published/snapshot.h"
 
 #include <chrono>
--- a/src/gateway/tests/admissionqueuetest.cpp
+++ b/src/gateway/tests/admissionqueuetest.cpp
@@ -140,3 +140,19 @@
   CHECK(mRefused == std::vector<std::string>{ "short" });
   CHECK_EQUAL(1u, mQueue.Size());
 }
+
+// Fails if reserved places can keep the least urgent class from the place that
+// is due to it.
+TEST(AdmissionQueue, TheTenthPlaceIsDueToTheLeastUrgentClass)
+{
+  Add("low", 3);
+  for (int i = 0; i < 8; ++i) {
+    mQueue.RecordPlaced();
+  }
+  CHECK_FALSE(mQueue.IsDue(3));
+
+  mQueue.RecordPlaced();
+
+  CHECK(mQueue.IsDue(3));
+  CHECK_FALSE(mQueue.IsDue(0));
+}
--- a/src/gateway/tests/startsharetest.cpp
+++ b/src/gateway/tests/startsharetest.cpp
@@ -74,6 +74,15 @@
     }
   }
 
+  void CompleteAll(EndpointBalancer & aGateway)
+  {
+    for (auto& [id, load] : mLoad) {
+      for (; load > 0; --load) {
+        aGateway.RecordOutcome(id, EndpointOutcome::Succeeded);
+      }
+    }
+  }
+
   int FillAll()
   {
     int sent = 0;
@@ -172,3 +181,21 @@
 
   LONGS_EQUAL(kEndpoints * kSlots * 2, Fill(mBalancers.front()));
 }
+
+// Guards against a pool that never starts again because most of its endpoints
+// have no agent.
+TEST(StartShare, TheShareAppliesAgainThoughFewEndpointsHaveReported)
+{
+  AddGateways(kGateways);
+  EndpointBalancer& gateway = mBalancers.front();
+  const int share = Fill(gateway);
+  CompleteAll(gateway);
+  mClock.Advance(std::chrono::seconds(31));
+  Report(kEndpoints / 4);
+  CHECK(Fill(gateway) > share);
+  CompleteAll(gateway);
+
+  mClock.Advance(std::chrono::seconds(4));
+
+  LONGS_EQUAL(share, Fill(gateway));
+}
--- a/src/gateway/waitestimator.h
+++ b/src/gateway/waitestimator.h
@@ -9,6 +9,9 @@
 
 namespace beryllever::gateway {
 
+/** One place in so many goes to the least urgent class that waits. */
+constexpr int kPlacesPerLowest = 10;
+
 /** Requests that are served before one that waits or arrives. */
 struct RequestsAhead
 {
@@ -60,6 +63,7 @@
     int mPriority = 0;
   };
 
+  /** Requires that requests wait. */
   global::TimePoint WindowBegin() const;
   double WindowSeconds() const;
   /** Arrivals per second of classes more urgent than aPriority. */
--- a/src/published/publishedstate.h
+++ b/src/published/publishedstate.h
@@ -51,9 +51,10 @@
   /** Items of older eras stay in force from now on for a limited time. */
   void BeginEra(const StorePosition& aPosition);
   bool ExpireOldEras();
-  /** Whether the item is of an older era: a zone out of service, or any other
-   * item but the configuration in force. */
+  /** Whether a zone out of service was written in an older era. */
   bool IsOldZone(const Record& aRecord) const;
+  /** Whether any other item but the configuration in force was written in an
+   * older era. */
   bool IsOldItem(const Record& aRecord) const;
   bool RemoveOldItems(bool (PublishedState::*aIsOld)(const Record&) const);
   bool ApplyRecord(const Record& aRecord);
@@ -74,8 +75,8 @@
   /** Removals after this position are all known. A listing does not tell what
    * was removed before it. */
   StorePosition mTombstonesSince;
-  /** Time until which items of older eras stay in force; not set if there are
-   * none left. */
+  /** Time until which items of older eras are accepted and, but for zones and
+   * the configuration, stay in force. */
   std::optional<global::TimePoint> mOldErasUntil;
   /** The same for zones out of service. */
   std::optional<global::TimePoint> mOldZonesUntil;
--- a/src/rankagent/internal/groupleader.cpp
+++ b/src/rankagent/internal/groupleader.cpp
@@ -38,9 +38,10 @@
  * can again, or which another leader clears. An owner that wakes from a freeze
  * first works off what has arrived meanwhile. */
 constexpr milliseconds kResumedHoldTimeout{ 500 };
-/** Additional time for each leader that clears a hold first. In this time a
- * leader places its own hold and the others read it. */
-constexpr milliseconds kClearTurn{ 350 };
+/** Interval between the times at which successive leaders, by rank, may clear
+ * an abandoned hold. In this time a leader places its own hold and the others
+ * read it. */
+constexpr milliseconds kClearInterval{ 350 };
 /** Smallest number of passes from the current one to the first with the new
  * map. The switch takes three message round trips, each shorter than a pass. */
 constexpr uint64_t kMinPassesAhead = 2;
@@ -348,7 +349,8 @@
                        ? std::min(mHeldSince, mStepSince)
                        : mHeldSince;
   auto time = since + kAbandonedHoldTimeout;
-  // The change that has placed a hold of the local rank is over.
+  // The local leader has placed this hold and its change is over, so it does
+  // not wait for its turn.
   if (mHolders.contains(mLocalRank->mRank)) {
     return time;
   }
@@ -357,7 +359,7 @@
       time = std::max(time, activeSince + kResumedHoldTimeout);
     }
   }
-  return time + kClearTurn * CountPrecedingClearers();
+  return time + kClearInterval * static_cast<int>(CountPrecedingClearers());
 }
 
 bool
--- a/src/rankagent/internal/ranknode.cpp
+++ b/src/rankagent/internal/ranknode.cpp
@@ -151,7 +151,7 @@
     return;
   }
   mIsReading = true;
-  mStallDetector.BeginRead();
+  mStallDetector.RecordReadStart();
   mEngine.ReadState([this](const std::optional<RankState>& aState) {
     mIsReading = false;
     HandleState(aState);
--- a/src/rankagent/internal/stalldetector.cpp
+++ b/src/rankagent/internal/stalldetector.cpp
@@ -13,8 +13,8 @@
  * silent for 2 s. */
 constexpr milliseconds kMinTimeout{ 400 };
 constexpr milliseconds kMaxTimeout{ 1200 };
-/** Longest duration of a pass that is told apart; also assumed at first, so
- * that a group counts as stalled late until its passes are known. */
+/** Upper bound of one observed pass; longer ones count as this long. Also the
+ * initial value, so that the timeout starts at its upper bound. */
 constexpr global::Duration kMaxPass = kMaxTimeout / kUsualPasses;
 /** Share of one observation in the usual duration, as a divisor. The state is
  * read ten times a second, so two seconds count. */
@@ -29,7 +29,7 @@
 }
 
 void
-StallDetector::BeginRead()
+StallDetector::RecordReadStart()
 {
   mReadTime = mClock.Now();
 }
--- a/src/rankagent/internal/stalldetector.h
+++ b/src/rankagent/internal/stalldetector.h
@@ -17,13 +17,13 @@
 public:
   explicit StallDetector(const global::IClock& aClock);
 
-  /** The state of the rank is asked for. A state is no older than this, however
-   * late it is received. */
-  void BeginRead();
+  /** Records when the state of the rank is requested. The next state is no
+   * older than this, however late it is received. */
+  void RecordReadStart();
   /** Takes the state that was asked for last. */
   void HandleState(const RankState& aState);
-  /** No state is known any more: the time until the next one counts for
-   * nothing. */
+  /** Forgets the last state, so that the time without a state does not count
+   * as a stall. */
   void Reset();
   bool IsStalled() const { return mIsStalled; }
   /** Time without a pass that counts as a stall. */
--- a/src/rankagent/tests/stalldetectortest.cpp
+++ b/src/rankagent/tests/stalldetectortest.cpp
@@ -22,7 +22,7 @@
 
   void Read()
   {
-    mDetector.BeginRead();
+    mDetector.RecordReadStart();
     mDetector.HandleState(mState);
     mClock.Advance(kReadInterval);
   }
@@ -109,7 +109,7 @@
 TEST(StallDetector, CountsNoTimeInWhichTheAgentReadNothing)
 {
   Run(milliseconds(70), std::chrono::seconds(10));
-  mDetector.BeginRead();
+  mDetector.RecordReadStart();
   mClock.Advance(std::chrono::seconds(2));
   mDetector.HandleState(mState);
 
