Show that idle connections keep all other callers out

A gateway bounds neither the connections of callers nor keeps descriptors free. A client that opens as many as the process may have, and sends nothing, keeps new callers out while readiness still answers 200.

--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -30,6 +30,7 @@
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -46,8 +47,10 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
-/** Memory of a gateway's machine on mgers-rota, see SYSTEM.md. */
+/** Memory and descriptors of a gateway's machine on mgers-rota, see SYSTEM.md.
+ */
 constexpr long kMemoryMb = 260;
+constexpr rlim_t kMaxFds = 4100;
 
 inline bool
 HasTrouble()
@@ -179,8 +182,11 @@
     }
   }
 
-  /** aReceiveBytes: size of the receive buffer; 0 leaves it as it is. */
-  static Connection To(uint16_t aPort, int aReceiveBytes = 0)
+  /** aReceiveBytes: size of the receive buffer; 0 leaves it as it is.
+   * aTime: time for the connection to be made. */
+  static Connection To(uint16_t aPort,
+                       int aReceiveBytes = 0,
+                       milliseconds aTime = milliseconds(10000))
   {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (aReceiveBytes > 0) {
@@ -190,6 +196,9 @@
                  &aReceiveBytes,
                  sizeof(aReceiveBytes));
     }
+    // Linux bounds connect() by the time for sending.
+    const timeval time{ aTime.count() / 1000, aTime.count() % 1000 * 1000 };
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &time, sizeof(time));
     const sockaddr_in address = Loopback(aPort);
     if (connect(descriptor,
                 reinterpret_cast<const sockaddr*>(&address),
@@ -554,6 +563,7 @@
   const std::string& Name() const { return mName; }
   uint16_t Frontend() const { return mFrontend; }
   uint16_t Directory() const { return mDirectory; }
+  uint16_t Ready() const { return mReady; }
   std::string ControlAddress() const { return Address(mControl); }
 
   /** Fills in the template with the fields of mgers-rota. */
@@ -603,6 +613,9 @@
     if (mProcess != 0) {
       return;
     }
+    // The platform limits the descriptors of each process (DEPLOY.md).
+    const rlimit limit{ kMaxFds, kMaxFds };
+    setrlimit(RLIMIT_NOFILE, &limit);
     // No process is left behind, however this one ends.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
