--- a/review/standins-2/directorybodies.cpp
+++ b/review/standins-2/directorybodies.cpp
@@ -1,5 +1,5 @@
-// Case 9: a client that this system does not control sends large bodies to the
-// directory, and stops before their ends.
+// Beside the cases: a client that this system does not control sends large
+// bodies to the directory, and stops before their ends.
 
 #include "lab.h"
 
