Show that a 204 on a streaming route spoils the next answer

An answer that is forwarded at once is sent in chunks whatever its status. With 204 it ends with its head, so its last chunk stands where the next answer is due.

Idle connections leave the cases, and their program stays beside them.

--- a/review/standins-2/descriptors.cpp
+++ b/review/standins-2/descriptors.cpp
@@ -1,5 +1,6 @@
-// Case 10: a client that this system does not control opens connections and
-// sends nothing on them. Do ordinary clients still get a connection?
+// Beside the cases: a client that this system does not control opens
+// connections and sends nothing on them. Do ordinary clients still get a
+// connection?
 
 #include "lab.h"
 
--- a/review/standins-2/heads.cpp
+++ b/review/standins-2/heads.cpp
@@ -1,4 +1,4 @@
-// Case 8: a client that this system does not control sends heads of many short
+// Case 9: a client that this system does not control sends heads of many short
 // fields, inside the limits, and stops before the end of each small body.
 
 #include "lab.h"
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -243,6 +243,18 @@
     return Take(end + 4);
   }
 
+  /** Reads one line with its end. */
+  std::optional<std::string> ReadLine()
+  {
+    size_t end = 0;
+    while ((end = mInput.find("\r\n")) == std::string::npos) {
+      if (!ReadMore()) {
+        return std::nullopt;
+      }
+    }
+    return Take(end + 2);
+  }
+
   std::optional<std::string> ReadBytes(size_t aBytes)
   {
     while (mInput.size() < aBytes) {
@@ -255,8 +267,8 @@
 
   /** Whether the last read ended because no byte came in time. */
   bool HasTimedOut() const { return mHasTimedOut; }
-  /** Bytes of a message that has not come whole. */
-  size_t Unread() const { return mInput.size(); }
+  /** Bytes that have been read and belong to no message yet. */
+  const std::string& Unread() const { return mInput; }
 
 private:
   bool ReadMore()
@@ -832,7 +844,7 @@
   {
     mStore.Put("op/config", Tables());
     for (const Worker& worker : mWorkers) {
-      mStore.Put("servers/" + worker.Id(), Entry(worker));
+      AddWorker(worker.Id(), "dispatch-app", worker.Port());
     }
     std::vector<std::string> seeds;
     for (const Gateway& gateway : mGateways) {
@@ -848,7 +860,21 @@
       });
   }
 
+  /** Registers a worker, as it does itself. */
+  void AddWorker(const std::string& aId,
+                 const std::string& aService,
+                 uint16_t aPort)
+  {
+    mStore.Put("servers/" + aId,
+               R"({"Backend":")" + aService + R"(","Address":"127.0.0.1:)" +
+                 std::to_string(aPort) +
+                 R"(","Zone":"mid-north","Version":"1","SlotCount":12)"
+                 R"(,"State":"ready","ColdRemainingMs":0,"Sequence":1)"
+                 R"(,"born":1})");
+  }
+
   Gateway& First() { return mGateways.front(); }
+  Gateway& Last() { return mGateways.back(); }
   std::list<Gateway>& Gateways() { return mGateways; }
 
   std::vector<Worker::Run> Runs()
@@ -884,23 +910,22 @@
            R"(,"Prefix":"/standby/","RouteKind":"idempotent")"
            R"(,"TimeoutMs":2000,"TargetLatencyMs":100,"PriorityClass":2)"
            R"(,"MaxAttempts":2,"AuthExempt":false)"
-           R"(,"Backend":"dispatch-app"}])"
+           R"(,"Backend":"dispatch-app"})"
+           R"(,{"Name":"handover-draft","Hostname":"rota.example")"
+           R"(,"Prefix":"/draft/","RouteKind":"streaming")"
+           R"(,"TimeoutMs":8000,"TargetLatencyMs":400,"PriorityClass":1)"
+           R"(,"MaxAttempts":2,"AuthExempt":false,"SessionAffinity":true)"
+           R"(,"StreamResume":true,"TargetGapMs":120)"
+           R"(,"Backend":"rota-llm"}])"
            R"(,"Backends":[{"Name":"dispatch-app","HealthPath":"/healthz")"
-           R"(,"MaxConnections":110}],"Limits":{"MaxHeaderBytes":16384)"
+           R"(,"MaxConnections":110},{"Name":"rota-llm")"
+           R"(,"HealthPath":"/healthz","MaxConnections":418}],"Limits":{"MaxHeaderBytes":16384)"
            R"(,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000)"
            R"(,"IdleTimeoutMs":15000},"TenantList":[{"Name":"north")"
            R"(,"ApiKeys":["key-of-north"]},{"Name":"south")"
            R"(,"ApiKeys":["key-of-south"]}]})";
   }
 
-  static std::string Entry(const Worker& aWorker)
-  {
-    return R"({"Backend":"dispatch-app","Address":"127.0.0.1:)" +
-           std::to_string(aWorker.Port()) +
-           R"(","Zone":"mid-north","Version":"1","SlotCount":12)"
-           R"(,"State":"ready","ColdRemainingMs":0,"Sequence":1,"born":1})";
-  }
-
   const std::string mFolder;
   Store mStore;
   std::list<Worker> mWorkers;
--- a/review/standins-2/unreadanswers.cpp
+++ b/review/standins-2/unreadanswers.cpp
@@ -1,4 +1,4 @@
-// Case 9: a client that this system does not control sends lookups one behind
+// Case 10: a client that this system does not control sends lookups one behind
 // the other and does not read their answers.
 
 #include "lab.h"
