Take a reset that a write meets for a reset, not for an end

What callers saw: an endpoint answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a whole answer; event streams ended in order, and resumable ones were not resumed.

Cause: Linux reports a reset of a connection once. A read that meets it first fails with ECONNRESET. If a write meets it first, the write gets ECONNRESET and the next read returns 0, as for an end in order. TcpSocket left the verdict to that read, so it reported Finished, and an answer that ends with its connection counted as complete. Only a write that is still pending can meet the reset, so the answers to short requests were not hit, nor those with a length or chunks.

Why this works: the write's error tells what has happened. ECONNRESET, or ETIMEDOUT of a peer that no longer acknowledges, is remembered, and the read's 0 is then a reset. EPIPE as the first error means that the peer had ended its side in order before the reset: all its bytes have arrived, and an answer without a length stays whole. Bytes that are still unread are handed on before the end is told, as before. Each user of TcpSocket gets the same verdict: the answers of endpoints, engines and the store.

--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -259,7 +259,7 @@
       continue;
     }
     if (n == 0) {
-      Fail(CloseReason::Finished);
+      Fail(mIsBroken ? CloseReason::Reset : CloseReason::Finished);
       return;
     }
     if (errno != EAGAIN && errno != EINTR) {
@@ -320,6 +320,8 @@
       // The read side reports the end of a broken connection, after any
       // answer that has already arrived.
       mHasFailedWrite = errno != EAGAIN;
+      // EPIPE: the peer had ended its side in order before the reset.
+      mIsBroken = mHasFailedWrite && errno != EPIPE;
       break;
     }
     mOutputStart += static_cast<size_t>(n);
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -107,6 +107,9 @@
   bool mIsReading = true;
   bool mIsClosing = false;
   bool mHasFailedWrite = false;
+  /** A write has met a reset or a timeout. The kernel reports either only once,
+   * so the next read would see an end. */
+  bool mIsBroken = false;
   std::string mOutput;
   size_t mOutputStart = 0;
   size_t mUndelivered = 0;
