Pin that answers with an invalid status or field name are none

Two cases of other systems, checked on each reader of answers that is built on HttpClientConnection. Both held on the code as it was, so only tests come here:

- A status of 000, of two or four digits, or outside 100 to 599, also after an interim answer and for HEAD.

--- a/src/framework/net/tests/httpclientconnectiontest.cpp
+++ b/src/framework/net/tests/httpclientconnectiontest.cpp
@@ -14,6 +14,34 @@
 /** More than the buffers of both ends take. */
 constexpr size_t kLongBodyBytes = 32 * 1024 * 1024;
 
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+const std::vector<std::string> kInvalidStatuses{ "000",  "001", "099",
+                                                 "600",  "999", "20",
+                                                 "2000", "2x0", "" };
+
+/** Lines of a head whose field name is none. */
+const std::vector<std::string> kInvalidLines{
+  "X Y: 1",
+  "X\tY: 1",
+  " X: 1",
+  "\tX: 1",
+  "X : 1",
+  "Content Length: 2",
+  "Content-Length : 2",
+  "Transfer-Encoding\x0b: chunked",
+  std::string("X\0Y: 1", 6),
+  "X\x01Y: 1",
+  "X\x1fY: 1",
+  "X\rY: 1",
+  "X\x7f"
+  "Y: 1",
+  "X\x80Y: 1",
+  "X(Y): 1",
+  ": 1",
+  "X",
+};
+
 }
 
 TEST_GROUP(HttpClientConnection)
@@ -57,6 +85,52 @@
     CHECK(aSeen.mEnd.has_value());
   }
 
+  /** Sends an answer in one piece, or byte by byte, and closes in order. */
+  static void Answer(Seen & aSeen,
+                     const std::string& aAnswer,
+                     bool aIsInOnePiece,
+                     bool aIsHead = false)
+  {
+    Send(aSeen, kRequest, aIsHead);
+    aSeen.mPeer.ReadUntil("\r\n\r\n");
+    if (aIsInOnePiece) {
+      aSeen.mPeer.Send(aAnswer);
+    } else {
+      for (const char c : aAnswer) {
+        aSeen.mPeer.Send({ &c, 1 });
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
+      }
+    }
+    aSeen.mPeer.Close();
+    AwaitEnd(aSeen);
+  }
+
+  static void CheckIsNoAnswer(const std::string& aAnswer, bool aIsHead = false)
+  {
+    for (const bool isInOnePiece : { true, false }) {
+      Seen seen;
+      Answer(seen, aAnswer, isInOnePiece, aIsHead);
+      LONGS_EQUAL_TEXT(0, seen.mHeads, aAnswer.c_str());
+      STRCMP_EQUAL_TEXT(net::NameOf(AnswerEnd::Garbled).data(),
+                        net::NameOf(*seen.mEnd).data(),
+                        aAnswer.c_str());
+    }
+  }
+
+  static void CheckIsAnswer(const std::string& aAnswer,
+                            const std::string& aBody)
+  {
+    for (const bool isInOnePiece : { true, false }) {
+      Seen seen;
+      Answer(seen, aAnswer, isInOnePiece);
+      LONGS_EQUAL_TEXT(1, seen.mHeads, aAnswer.c_str());
+      STRCMP_EQUAL_TEXT(net::NameOf(AnswerEnd::Complete).data(),
+                        net::NameOf(*seen.mEnd).data(),
+                        aAnswer.c_str());
+      STRCMP_EQUAL(aBody.c_str(), seen.mBody.c_str());
+    }
+  }
+
   static void SendLongRequest(Seen & aSeen)
   {
     Send(aSeen,
@@ -128,3 +202,77 @@
     CHECK(AnswerEnd::Cut == *seen.mEnd);
   }
 }
+
+TEST(HttpClientConnection, AnInvalidStatusIsNoAnswer)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    CheckIsNoAnswer("HTTP/1.1 " + status +
+                    " Odd\r\nContent-Length: 2\r\n\r\nok");
+  }
+}
+
+TEST(HttpClientConnection, AnInvalidStatusAfterAnInterimAnswerIsNoAnswer)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    CheckIsNoAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status +
+                    " Odd\r\nContent-Length: 2\r\n\r\nok");
+  }
+}
+
+TEST(HttpClientConnection, AnInvalidStatusIsNoAnswerToAHeadRequest)
+{
+  for (const std::string& status : kInvalidStatuses) {
+    CheckIsNoAnswer("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n",
+                    true);
+  }
+}
+
+TEST(HttpClientConnection, AHeadWithAnInvalidFieldNameIsNoAnswer)
+{
+  for (const std::string& line : kInvalidLines) {
+    CheckIsNoAnswer("HTTP/1.1 200 OK\r\n" + line +
+                    "\r\nContent-Length: 2\r\n\r\nok");
+    CheckIsNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line +
+                    "\r\n\r\nok");
+  }
+}
+
+TEST(HttpClientConnection, AnInterimAnswerWithAnInvalidFieldNameIsNoAnswer)
+{
+  for (const std::string& line : kInvalidLines) {
+    CheckIsNoAnswer("HTTP/1.1 103 Early Hints\r\n" + line +
+                    "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  }
+}
+
+TEST(HttpClientConnection, AnInvalidFieldNameIsNoAnswerToAHeadRequest)
+{
+  for (const std::string& line : kInvalidLines) {
+    CheckIsNoAnswer(
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\n", true);
+  }
+}
+
+TEST(HttpClientConnection, AChunkedAnswerIsAnAnswer)
+{
+  for (const std::string coding : { "chunked", "Chunked", " \tchunked \t" }) {
+    CheckIsAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding +
+                    "\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                  "ok");
+  }
+}
+
+TEST(HttpClientConnection, AnAnswerWithEmptyAndUnusualFieldsIsAnAnswer)
+{
+  CheckIsAnswer("HTTP/1.1 200 OK\r\nX:\r\nY: \r\n!#$%&'*+-.^_`|~1a: b\r\n"
+                "Content-Length: 2\r\n\r\nok",
+                "ok");
+}
+
+TEST(HttpClientConnection, StatusesOfEachClassAreAnswers)
+{
+  for (const std::string status : { "200", "299", "404", "500", "599" }) {
+    CheckIsAnswer("HTTP/1.1 " + status + " Any\r\nContent-Length: 2\r\n\r\nok",
+                  "ok");
+  }
+}
