Take a head with a folded field for no answer

What callers saw: an endpoint in trouble put a line into its head that began with a blank. The parser joined it to the field before it, so that callers got a 200 whose stamp, or whatever field came before, had that line in it. Such a 503 that stated "not run" was believed, a listing of the store with such a head was put in force, and an order to an engine counted as accepted.

Cause: the parser undoes folding, which HTTP/1.1 has withdrawn (RFC 9112, 5.2). It shows only the joined value, so no later check can see the fold.

Why this works: the bytes that the parser takes for the head are looked through for a line that begins with a blank or a tab. It takes a field only once it has seen the first byte of the next line, so a fold always lies within one piece, however the bytes arrive. Up to the end of the head it now takes no bytes of the body, which may hold such lines and is not looked at.

RFC 9112 lets a gateway replace the fold instead; a line that is foreign to the field would still be passed on then.

Evidence: on the code before, all 11 tests of InvalidField failed in 3 of 3 runs, each at the line that begins with a blank, and so did HttpClientConnection AFoldedFieldIsNoAnswer and AnInterimAnswerWithAnInvalidFieldNameIsNoAnswer. With the change all passed in 5 of 5 runs, and platform_test passed whole.

--- a/src/framework/net/internal/httpclientconnection.cpp
+++ b/src/framework/net/internal/httpclientconnection.cpp
@@ -17,6 +17,15 @@
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 
+/** Whether a line of a head begins with a blank, and so continues the line
+ * before it. The parser would join the two. */
+bool
+HasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\n ") != std::string_view::npos ||
+         aHead.find("\n\t") != std::string_view::npos;
+}
+
 }
 
 std::string_view
@@ -148,6 +157,10 @@
   while (mIsBusy && !mInput.empty()) {
     boost::system::error_code ec;
     const size_t n = mParser->put(boost::asio::buffer(mInput), ec);
+    if (!mHasHead && HasFoldedLine(std::string_view(mInput).substr(0, n))) {
+      End(AnswerEnd::Garbled);
+      return;
+    }
     mInput.erase(0, n);
     if (ec && ec != http::error::need_more) {
       End(mHasHead ? AnswerEnd::Cut : AnswerEnd::Garbled);
@@ -192,6 +205,7 @@
     return false;
   }
   mHasHead = true;
+  mParser->eager(true);
   AnswerHead head{ status, message.base() };
   head.mIsChunked = mParser->chunked();
   if (const auto length = mParser->content_length()) {
@@ -247,7 +261,8 @@
 HttpClientConnection::ResetParser()
 {
   mParser = std::make_unique<Parser>();
-  mParser->eager(true);
+  // Up to the end of the head, so that the body is not taken for a part of it.
+  mParser->eager(false);
   mParser->body_limit(boost::none);
   mParser->header_limit(kMaxHeadBytes);
   mParser->skip(mIsHeadRequest);
--- a/src/framework/net/tests/httpclientconnectiontest.cpp
+++ b/src/framework/net/tests/httpclientconnectiontest.cpp
@@ -240,7 +240,7 @@
 TEST(HttpClientConnection, AnInterimAnswerWithAnInvalidFieldNameIsNoAnswer)
 {
   for (const std::string& line : kInvalidLines) {
-    CheckIsNoAnswer("HTTP/1.1 103 Early Hints\r\n" + line +
+    CheckIsNoAnswer("HTTP/1.1 103 Early Hints\r\nA: b\r\n" + line +
                     "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   }
 }
@@ -253,6 +253,26 @@
   }
 }
 
+TEST(HttpClientConnection, AFoldedFieldIsNoAnswer)
+{
+  for (const std::string fold : { "\r\n b", "\r\n\tb", "\r\n \r\n b" }) {
+    CheckIsNoAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a" + fold +
+                    "\r\n\r\nok");
+    CheckIsNoAnswer("HTTP/1.1 200 OK\r\nX:" + fold +
+                    "\r\nContent-Length: 2\r\n\r\nok");
+  }
+}
+
+TEST(HttpClientConnection, ABodyThatLooksLikeAFoldedFieldIsABody)
+{
+  const std::string body = "a\r\n b\r\n\r\n c";
+  CheckIsAnswer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body,
+                body);
+  CheckIsAnswer("HTTP/1.1 200 OK\r\n\r\n\r\n b", "\r\n b");
+  CheckIsAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n b", " b");
+}
+
 TEST(HttpClientConnection, AChunkedAnswerIsAnAnswer)
 {
   for (const std::string coding : { "chunked", "Chunked", " \tchunked \t" }) {
