Take a head with an unknown transfer coding for no answer

What callers saw: an endpoint sent "Transfer-Encoding: gzip" beside "Content-Length: 4" and 5,000 bytes. Callers got the first 4 bytes as a whole 200, on all kinds of routes, and the rest would have stood where the next answer is due had the connection been used again. Without a length, callers got the coded bytes without the field that names the coding.

Cause: the parser notes a transfer coding only if it is chunked, and then goes by the length or by the end of the connection. RFC 9112 (6.1, 6.3): any transfer coding goes before the length, and a client that has not allowed a coding can't be sent one. No request of ours allows one.

Why this works: a head that has a transfer coding other than chunked alone, in one field, is refused before anything of it is used, as are heads with an invalid status. That holds for interim answers and for HEAD too: nothing that follows such a head can be trusted to begin where it seems to.

--- a/src/framework/net/internal/httpclientconnection.cpp
+++ b/src/framework/net/internal/httpclientconnection.cpp
@@ -1,6 +1,7 @@
 #include "framework/net/httpclientconnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace beryllever::net {
 
@@ -26,6 +27,18 @@
          aHead.find("\n\t") != std::string_view::npos;
 }
 
+/** Whether the body is sent as it is or in chunks. No request allows another
+ * transfer coding. The parser ignores such a one, and would look for the end of
+ * the body by a length that does not count. */
+bool
+HasKnownTransferCoding(const http::fields& aFields)
+{
+  const size_t n = aFields.count(http::field::transfer_encoding);
+  return n == 0 ||
+         (n == 1 && boost::beast::iequals(
+                      aFields[http::field::transfer_encoding], "chunked"));
+}
+
 }
 
 std::string_view
@@ -190,7 +203,8 @@
 {
   const auto& message = mParser->get();
   const unsigned status = message.result_int();
-  if (status < kMinStatus || status > kMaxStatus) {
+  const bool isValidStatus = status >= kMinStatus && status <= kMaxStatus;
+  if (!isValidStatus || !HasKnownTransferCoding(message.base())) {
     End(AnswerEnd::Garbled);
     return false;
   }
--- a/src/framework/net/tests/httpclientconnectiontest.cpp
+++ b/src/framework/net/tests/httpclientconnectiontest.cpp
@@ -42,6 +42,21 @@
   "X",
 };
 
+/** Transfer codings that say nothing on where the body ends, or that the
+ * request did not allow. */
+const std::vector<std::string> kUnknownCodings{
+  "Transfer-Encoding: gzip\r\n",
+  "Transfer-Encoding: gzip, chunked\r\n",
+  "Transfer-Encoding: chunked, gzip\r\n",
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding: xchunked\r\n",
+  "Transfer-Encoding: \r\n",
+  "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+  "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+  "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+  "Content-Length: 2\r\nTransfer-Encoding: gzip\r\n",
+};
+
 }
 
 TEST_GROUP(HttpClientConnection)
@@ -263,6 +278,16 @@
   }
 }
 
+TEST(HttpClientConnection, AnUnknownTransferCodingIsNoAnswer)
+{
+  for (const std::string& coding : kUnknownCodings) {
+    const std::string answer =
+      "HTTP/1.1 200 OK\r\n" + coding + "\r\n2\r\nok\r\n0\r\n\r\n";
+    CheckIsNoAnswer(answer);
+    CheckIsNoAnswer(answer, true);
+  }
+}
+
 TEST(HttpClientConnection, ABodyThatLooksLikeAFoldedFieldIsABody)
 {
   const std::string body = "a\r\n b\r\n\r\n c";
