Read the answers to all other HTTP calls as the data path reads its own

What callers saw: on the product's own path (entry, agent, plain back end) an agent took for an answer what is none. A streamed answer without a length or chunks that was reset counted as complete; a status of 099 was forwarded; a head with "X Y: 1", with a control byte in a name, with a folded line or with "Transfer-Encoding: gzip" beside a length was used. So it was for the health reports of back ends, the expert maps of engines, Consul's answers, the trace collector and the calls of the command line.

Cause: HttpCall was built on QNetworkAccessManager. QTcpSocket reports a reset as an orderly end, and Qt's reader of heads skips what it doesn't understand. A status of 000 and an answer with a length that ends early were refused. The entry hid part of it: an event stream counts as whole only with its last event, a document without a length only if it parses. Both checks stay, since an answer that ends with its connection can't be told from one that the end of its back end has cut.

Why this works: HttpCall now uses HttpClientConnection, so there is one reader of HTTP answers in the product, with one set of tests. A call has a connection of its own, so no POST can meet an idle connection that is being closed, and Qt's limit of six connections to a server is gone. A call whose connection was made counts as sent, so an invalid answer is never called "not run". Host names are looked up as before, IPv6 numbers are reached by TcpSocket; a URL that is not of HTTP is refused as not sent. Calls in progress are cancelled with an owner that the caller names, in place of the manager.

The tests that count arrivals are unchanged but for the manager.

--- a/benchmarks/loadclient.cpp
+++ b/benchmarks/loadclient.cpp
@@ -28,10 +28,7 @@
 };
 
 Times
-SendChat(QNetworkAccessManager& aManager,
-         const QUrl& aUrl,
-         int aTokens,
-         int aNumber)
+SendChat(const QUrl& aUrl, int aTokens, int aNumber)
 {
   const nlohmann::json message{
     { "role", "user" }, { "content", "message " + std::to_string(aNumber) }
@@ -44,7 +41,6 @@
   const auto start = Clock::now();
   auto last = start;
   net::HttpCall call(
-    aManager,
     { .mMethod = "POST",
       .mUrl = aUrl,
       .mHeaders = { { "X-Workspace", "gas" },
@@ -75,11 +71,10 @@
   const QUrl url(arguments.value(1) + "/v1/chat/completions");
   const int chats = arguments.value(2, "200").toInt();
   const int tokens = arguments.value(3, "20").toInt();
-  QNetworkAccessManager manager;
   std::vector<double> first;
   std::vector<double> gaps;
   for (int i = 0; i < chats; ++i) {
-    const Times times = SendChat(manager, url, tokens, i);
+    const Times times = SendChat(url, tokens, i);
     if (i >= chats / 10) {
       first.push_back(times.mFirstToken);
       gaps.insert(gaps.end(), times.mGaps.begin(), times.mGaps.end());
--- a/src/agent/agentmodule.cpp
+++ b/src/agent/agentmodule.cpp
@@ -27,9 +27,7 @@
   const auto clock = aKernel.Get<global::IClock>();
   const auto pages = aKernel.Get<operations::IOperatorPages>();
   mTrafficContext = new QObject;
-  mManager = new QNetworkAccessManager;
   mTrafficContext->moveToThread(&mTrafficThread);
-  mManager->moveToThread(&mTrafficThread);
   mTrafficThread.start();
   mCore = std::make_unique<AgentCore>(
     *clock,
@@ -37,7 +35,6 @@
     aKernel.Get<configuration::IConfiguration>(),
     *aKernel.Get<metrics::Metrics>(),
     ExecutionContext{ *clock,
-                      *mManager,
                       mTrafficContext,
                       *aKernel.Get<tracing::Tracer>(),
                       settings->BackEnd(),
@@ -64,7 +61,6 @@
 void
 AgentModule::Stop()
 {
-  mManager->deleteLater();
   mTrafficContext->deleteLater();
   mTrafficThread.quit();
   mTrafficThread.wait();
--- a/src/agent/agentmodule.h
+++ b/src/agent/agentmodule.h
@@ -2,7 +2,7 @@
 
 #include "framework/kernel/imodule.h"
 
-#include <QNetworkAccessManager>
+#include <QObject>
 #include <QThread>
 #include <memory>
 
@@ -32,7 +32,6 @@
 private:
   QThread mTrafficThread;
   QObject* mTrafficContext = nullptr;
-  QNetworkAccessManager* mManager = nullptr;
   QObject mControlContext;
   std::shared_ptr<AgentService> mService;
   std::unique_ptr<AgentCore> mCore;
--- a/src/agent/internal/agentcore.cpp
+++ b/src/agent/internal/agentcore.cpp
@@ -43,7 +43,7 @@
   mConfiguration->Subscribe([this] { ApplyConfiguration(); });
   ApplyConfiguration();
   mMonitor = std::make_unique<BackEndMonitor>(
-    mClock, mManager, mSettings->BackEnd(), [this](const auto& aReport) {
+    mClock, mSettings->BackEnd(), [this](const auto& aReport) {
       HandleReport(aReport);
     });
 }
--- a/src/agent/internal/agentcore.h
+++ b/src/agent/internal/agentcore.h
@@ -10,7 +10,7 @@
 #include "framework/settings/jsondocument.h"
 #include "tickets/ticketbook.h"
 
-#include <QNetworkAccessManager>
+#include <QObject>
 #include <QTimer>
 #include <map>
 #include <memory>
@@ -85,7 +85,6 @@
   std::shared_ptr<configuration::IConfiguration> mConfiguration;
   metrics::Metrics& mMetrics;
   ExecutionContext mExecutionContext;
-  QNetworkAccessManager mManager;
   QObject mContext;
 
   const uint64_t mIncarnation;
--- a/src/agent/internal/backendmonitor.cpp
+++ b/src/agent/internal/backendmonitor.cpp
@@ -34,11 +34,9 @@
 }
 
 BackEndMonitor::BackEndMonitor(const global::IClock& aClock,
-                               QNetworkAccessManager& aManager,
                                const std::string& aBackEnd,
                                OnReport aOnReport)
   : mClock(aClock)
-  , mManager(aManager)
   , mUrl(QString::fromStdString(aBackEnd + "/health"))
   , mOnReport(std::move(aOnReport))
   , mReportDeadline(aClock.Now() + kReportTimeout)
@@ -59,7 +57,7 @@
   }
   mIsPolling = true;
   net::Fetch(
-    mManager,
+    mTimer,
     { .mMethod = "GET", .mUrl = mUrl },
     kPollTimeout,
     [this](const net::HttpOutcome& aOutcome, const net::HttpAnswer& aAnswer) {
--- a/src/agent/internal/backendmonitor.h
+++ b/src/agent/internal/backendmonitor.h
@@ -21,7 +21,6 @@
     std::function<void(const std::optional<credits::BackEndReport>&)>;
 
   BackEndMonitor(const global::IClock& aClock,
-                 QNetworkAccessManager& aManager,
                  const std::string& aBackEnd,
                  OnReport aOnReport);
 
@@ -31,7 +30,6 @@
                       const QByteArray& aBody);
 
   const global::IClock& mClock;
-  QNetworkAccessManager& mManager;
   const QUrl mUrl;
   OnReport mOnReport;
   QTimer mTimer;
--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -75,8 +75,7 @@
   const auto minTimeout = IsTicketed() ? kTicketTimeout : kStallCheckInterval;
   const auto timeout = IsStreamed() ? std::chrono::milliseconds(kStreamTimeout)
                                     : std::max(remaining, minTimeout);
-  mCall =
-    std::make_unique<net::HttpCall>(mContext.mManager, MakeRequest(), timeout);
+  mCall = std::make_unique<net::HttpCall>(MakeRequest(), timeout);
   mCall->SetOnReadable([this] { ForwardResponse(); });
   mCall->SetOnEnd(
     [this](const net::HttpOutcome& aOutcome) { HandleEnd(aOutcome); });
@@ -151,8 +150,8 @@
 {
   mHasHead = true;
   mResult.mHttpStatus = mCall->Status();
-  // Qt reports a chunked response as complete when its connection is closed
-  // early.
+  // A response that ends with its connection may have been cut by the end of
+  // the back end.
   mIsLengthUnknown = !IsStreamed() && net::HttpAnswer{ mCall->AllHeaders(), {} }
                                         .Header("Content-Length")
                                         .isEmpty();
@@ -297,7 +296,7 @@
 Execution::CancelAtBackEnd()
 {
   const std::string path = "/v1/requests/" + mRequest.stream_id();
-  net::Fetch(mContext.mManager,
+  net::Fetch(*mContext.mThreadContext,
              { .mMethod = "DELETE",
                .mUrl = QUrl(QString::fromStdString(mContext.mBackEnd + path)) },
              kCancelTimeout,
--- a/src/agent/internal/execution.h
+++ b/src/agent/internal/execution.h
@@ -47,7 +47,6 @@
 struct ExecutionContext
 {
   const global::IClock& mClock;
-  QNetworkAccessManager& mManager;
   QObject* mThreadContext;
   tracing::Tracer& mTracer;
   std::string mBackEnd;
--- a/src/agent/tests/executiontest.cpp
+++ b/src/agent/tests/executiontest.cpp
@@ -1,4 +1,5 @@
 #include "agent/internal/execution.h"
+#include "framework/net/tests/loopbackpeer.h"
 
 #include <CppUTest/TestHarness.h>
 #include <QCoreApplication>
@@ -99,11 +100,9 @@
   // Arrange: an execution that has forwarded the first half of a response.
   SlowBackEnd backEnd;
   const global::SteadyClock clock;
-  QNetworkAccessManager manager;
   QObject thread;
   tracing::Tracer tracer("test");
   const ExecutionContext context{ clock,
-                                  manager,
                                   &thread,
                                   tracer,
                                   "http://127.0.0.1:" +
@@ -138,3 +137,82 @@
 
   LONGS_EQUAL(1, ends);
 }
+
+TEST_GROUP(ExecutionOfABrokenAnswer)
+{
+  const global::SteadyClock mClock;
+  QObject mThread;
+  tracing::Tracer mTracer{ "test" };
+
+  /** Runs a streamed request at a back end that sends bytes and resets its
+   * connection. */
+  ExecutionResult Run(const std::string& aBytes)
+  {
+    net::tests::LoopbackPeer backEnd;
+    std::thread server([&] {
+      backEnd.Accept();
+      backEnd.ReadUntil("\r\n\r\n");
+      backEnd.Send(aBytes);
+      // Lets the execution read the bytes before the reset arrives.
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      backEnd.Reset();
+    });
+    const ExecutionContext context{ mClock,
+                                    &mThread,
+                                    mTracer,
+                                    "http://127.0.0.1:" +
+                                      std::to_string(backEnd.Port()),
+                                    {} };
+    std::optional<ExecutionResult> result;
+    const auto stream = ExecuteStream::Make(&mThread);
+    v1::ExecuteRequest request;
+    request.set_kind("chat");
+    request.set_stream_id("stream");
+    const auto execution = std::make_shared<Execution>(
+      context,
+      request,
+      stream,
+      std::chrono::system_clock::now() + std::chrono::seconds(10),
+      ExecutionCallbacks{
+        .mOnEnd = [&](const ExecutionResult& aResult) { result = aResult; } });
+    execution->Start();
+    CHECK(ProcessEventsUntil([&] { return result.has_value(); }));
+    server.join();
+    return *result;
+  }
+};
+
+TEST(ExecutionOfABrokenAnswer, AStreamWithoutALengthThatIsResetIsNotComplete)
+{
+  const ExecutionResult result =
+    Run("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        "data: part\n\n");
+
+  CHECK_FALSE(result.mIsComplete);
+  CHECK(result.mIsSent);
+}
+
+TEST(ExecutionOfABrokenAnswer, AnInvalidStatusIsNotForwarded)
+{
+  for (const std::string status : { "000", "099", "600" }) {
+    const ExecutionResult result =
+      Run("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+
+    CHECK_FALSE(result.mIsComplete);
+    CHECK(result.mIsSent);
+    LONGS_EQUAL(0, result.mHttpStatus);
+  }
+}
+
+TEST(ExecutionOfABrokenAnswer, AnInvalidFieldNameIsNotForwarded)
+{
+  for (const std::string line : { "X Y: 1", "X\x01Y: 1", " X: 1" }) {
+    const ExecutionResult result =
+      Run("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + line +
+          "\r\nContent-Length: 2\r\n\r\nok");
+
+    CHECK_FALSE(result.mIsComplete);
+    CHECK(result.mIsSent);
+    LONGS_EQUAL(0, result.mHttpStatus);
+  }
+}
--- a/src/app/internal/coremodule.cpp
+++ b/src/app/internal/coremodule.cpp
@@ -7,8 +7,6 @@
 #include "operations/spanexporter.h"
 #include "transport/grpcserver.h"
 
-#include <QNetworkAccessManager>
-
 namespace beryllever::app {
 
 namespace {
@@ -33,8 +31,6 @@
     aKernel.Provide<global::IClock>(clock);
     aKernel.Provide<metrics::Metrics>(metrics);
     aKernel.Provide<tracing::Tracer>(mTracer);
-    aKernel.Provide<QNetworkAccessManager>(
-      std::make_shared<QNetworkAccessManager>());
     aKernel.Provide<transport::GrpcServer>(
       std::make_shared<transport::GrpcServer>());
     const auto pages =
@@ -47,9 +43,7 @@
   {
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
     mExporter = std::make_unique<operations::SpanExporter>(
-      *aKernel.Get<QNetworkAccessManager>(),
-      *mTracer,
-      settings->CollectorUrl());
+      *mTracer, settings->CollectorUrl());
     aKernel.Get<operations::IOperatorPages>()->AddStatusSection(
       "process", [settings] {
         return settings::Json{ { "role", settings->Role() },
--- a/src/app/internal/distributionmodule.cpp
+++ b/src/app/internal/distributionmodule.cpp
@@ -23,8 +23,8 @@
   void RegisterExports(kernel::Kernel& aKernel) override
   {
     const auto settings = aKernel.Get<configuration::IProcessSettings>();
-    const auto platform = std::make_shared<consul::ConsulPlatform>(
-      *aKernel.Get<QNetworkAccessManager>(), settings->PlatformUrls());
+    const auto platform =
+      std::make_shared<consul::ConsulPlatform>(settings->PlatformUrls());
     mNode = std::make_shared<distribution::ConfigurationNode>(
       *aKernel.Get<global::IClock>(),
       settings,
--- a/src/cli/internal/client.cpp
+++ b/src/cli/internal/client.cpp
@@ -20,7 +20,7 @@
 {
   ClientAnswer answer;
   QEventLoop loop;
-  net::HttpCall call(mManager, aRequest, aTimeout);
+  net::HttpCall call(aRequest, aTimeout);
   const auto read = [&] {
     const QByteArray bytes = call.Read(call.Readable());
     answer.mAnswer.mBody += bytes;
--- a/src/cli/internal/client.h
+++ b/src/cli/internal/client.h
@@ -25,9 +25,6 @@
     std::chrono::milliseconds aTimeout,
     const std::function<void(const QByteArray&)>& aOnBytes = {});
   ClientAnswer Get(const std::string& aUrl);
-
-private:
-  QNetworkAccessManager mManager;
 };
 
 /** Prints why there is no good answer, and returns the exit code for it. */
--- a/src/consul/consulplatform.h
+++ b/src/consul/consulplatform.h
@@ -19,8 +19,7 @@
 class ConsulPlatform : public IPlatform
 {
 public:
-  ConsulPlatform(QNetworkAccessManager& aManager,
-                 std::vector<std::string> aAddresses);
+  explicit ConsulPlatform(std::vector<std::string> aAddresses);
 
   void SetOnDocuments(
     std::function<void(DocumentSnapshot)> aOnDocuments) override;
@@ -50,7 +49,6 @@
   void HandleDocuments(const std::string& aBody, uint64_t aRevision);
   void HandleVms(const std::string& aBody, uint64_t aRevision);
 
-  QNetworkAccessManager& mManager;
   const std::vector<std::string> mAddresses;
   std::function<void(DocumentSnapshot)> mOnDocuments;
   std::function<void(VmSnapshot)> mOnVms;
--- a/src/consul/internal/consulplatform.cpp
+++ b/src/consul/internal/consulplatform.cpp
@@ -31,10 +31,8 @@
 
 }
 
-ConsulPlatform::ConsulPlatform(QNetworkAccessManager& aManager,
-                               std::vector<std::string> aAddresses)
-  : mManager(aManager)
-  , mAddresses(std::move(aAddresses))
+ConsulPlatform::ConsulPlatform(std::vector<std::string> aAddresses)
+  : mAddresses(std::move(aAddresses))
   , mQueries{ { "/v1/kv/beryllever/?recurse=true",
                 &ConsulPlatform::HandleDocuments },
               { "/v1/catalog/nodes?", &ConsulPlatform::HandleVms } }
@@ -115,7 +113,7 @@
              .arg(kBlockingQueryWait.count());
     timeout += kBlockingQueryWait;
   }
-  net::Fetch(mManager,
+  net::Fetch(mContext,
              { .mMethod = "GET", .mUrl = QUrl(url) },
              timeout,
              [this, &aQuery, aIsBlocking](const net::HttpOutcome& aOutcome,
--- a/src/entry/internal/relaysession.cpp
+++ b/src/entry/internal/relaysession.cpp
@@ -231,8 +231,8 @@
 RelaySession::HandleEnd(const v1::ExecuteEnd& aEnd)
 {
   mSequencer.SetLength(aEnd.length());
-  // Qt reports a chunked response as complete when its connection is closed
-  // early.
+  // A response that ends with its connection may have been cut by the end of
+  // the back end.
   const bool isTruncated = mIsEventStream && mHasData && !mFramer.HasEnded();
   if (!mSequencer.IsComplete() || isTruncated) {
     HandleFailure({ ErrorKind::StreamLost, "the response is incomplete" });
--- a/src/expertmap/internal/enginemapclient.cpp
+++ b/src/expertmap/internal/enginemapclient.cpp
@@ -31,10 +31,8 @@
 
 }
 
-EngineMapClient::EngineMapClient(QNetworkAccessManager& aManager,
-                                 const std::string& aBackEnd)
-  : mManager(aManager)
-  , mUrl(QString::fromStdString(aBackEnd))
+EngineMapClient::EngineMapClient(const std::string& aBackEnd)
+  : mUrl(QString::fromStdString(aBackEnd))
 {
 }
 
@@ -65,7 +63,7 @@
 EngineMapClient::PrepareMap(steplease::MapVersion aMap)
 {
   net::Fetch(
-    mManager,
+    mContext,
     { .mMethod = "PUT",
       .mUrl = QUrl(mUrl + "/v1/expert-map/prepare"),
       .mBody = QByteArray::fromStdString(Json{ { "map", aMap } }.dump()) },
@@ -79,7 +77,7 @@
                       uint64_t aFencingNumber,
                       OnState aOnState)
 {
-  net::Fetch(mManager,
+  net::Fetch(mContext,
              { .mMethod = aMethod,
                .mUrl = QUrl(mUrl + "/v1/expert-map/schedule"),
                .mHeaders = { { "X-Fencing-Number",
--- a/src/expertmap/internal/enginemapclient.h
+++ b/src/expertmap/internal/enginemapclient.h
@@ -25,7 +25,7 @@
 public:
   using OnState = std::function<void(const std::optional<EngineState>&)>;
 
-  EngineMapClient(QNetworkAccessManager& aManager, const std::string& aBackEnd);
+  explicit EngineMapClient(const std::string& aBackEnd);
 
   /** Passes std::nullopt if the engine does not return a valid state. */
   void ReadState(OnState aOnState);
@@ -43,8 +43,9 @@
             uint64_t aFencingNumber,
             OnState aOnState);
 
-  QNetworkAccessManager& mManager;
   const QString mUrl;
+  /** Owns the calls in progress. */
+  QObject mContext;
 };
 
 }
--- a/src/expertmap/internal/expertmapnode.cpp
+++ b/src/expertmap/internal/expertmapnode.cpp
@@ -32,7 +32,7 @@
   , mSettings(std::move(aSettings))
   , mConfiguration(std::move(aConfiguration))
   , mMetrics(aMetrics)
-  , mEngine(mManager, mSettings->BackEnd())
+  , mEngine(mSettings->BackEnd())
   , mIncarnation(global::NewIncarnation())
   , mReadDeadline(aClock.Now() + kInitialReadDelay)
   , mTakeoverDeadline(aClock.Now())
--- a/src/expertmap/internal/expertmapnode.h
+++ b/src/expertmap/internal/expertmapnode.h
@@ -48,7 +48,6 @@
   std::shared_ptr<configuration::IProcessSettings> mSettings;
   std::shared_ptr<configuration::IConfiguration> mConfiguration;
   metrics::Metrics& mMetrics;
-  QNetworkAccessManager mManager;
   EngineMapClient mEngine;
   const uint64_t mIncarnation;
   GroupView mView;
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -1,28 +1,25 @@
 #pragma once
 
+#include "framework/net/httpclientconnection.h"
 #include "framework/net/nettypes.h"
 
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
+#include <QHostInfo>
 #include <QTimer>
+#include <QUrl>
 #include <functional>
 #include <memory>
 
 namespace beryllever::net {
 
-class SinglePassBody;
-
 /** What came of an HTTP call. */
 struct HttpOutcome
 {
   /** HTTP status, or 0 if no answer came. */
   int mStatus = 0;
-  /**
-   * Whether the answer arrived whole, as far as Qt can tell: an answer in
-   * chunks passes for whole when its connection is closed early.
-   */
+  /** Whether the answer arrived whole. One without a length or chunks that the
+   * end of its server has cut cannot be told from a whole one. */
   bool mIsComplete = false;
-  /** Whether any byte of the body may have reached the server. */
+  /** Whether any byte of the request may have reached the server. */
   bool mIsSent = false;
   bool mIsTimedOut = false;
   QString mReason;
@@ -37,14 +34,16 @@
   QByteArray Header(const QByteArray& aName) const;
 };
 
-/** Request of an HTTP call. The body is sent at most once. */
+/** Request of an HTTP call; sent at most once, on a connection of its own. */
 struct HttpCallRequest
 {
   QByteArray mMethod = "GET";
+  /** With the scheme "http". */
   QUrl mUrl;
   Headers mHeaders;
   QByteArray mBody;
-  /** Bytes of the answer kept in memory before the connection is held back. */
+  /** Bytes of the answer kept in memory before the connection is held back; 0
+   * for no limit. */
   qint64 mReadBufferBytes = 64 * 1024;
 };
 
@@ -55,9 +54,7 @@
 class HttpCall : public QObject
 {
 public:
-  HttpCall(QNetworkAccessManager& aManager,
-           const HttpCallRequest& aRequest,
-           std::chrono::milliseconds aTimeout);
+  HttpCall(const HttpCallRequest& aRequest, std::chrono::milliseconds aTimeout);
   ~HttpCall() override;
 
   /** Called when bytes of the answer can be read. */
@@ -75,25 +72,37 @@
    * inside them. */
   static void Release(std::unique_ptr<HttpCall> aCall);
 
-  int Status() const;
-  Headers AllHeaders() const;
+  /** Status of the answer, or 0 if its head has not arrived. */
+  int Status() const { return mStatus; }
+  const Headers& AllHeaders() const { return mHeaders; }
   QByteArray Read(qint64 aMax);
-  qint64 Readable() const;
+  qint64 Readable() const { return mUnread.size(); }
 
 private:
-  void Finish();
-
-  std::unique_ptr<SinglePassBody> mBody;
-  QNetworkReply* mReply = nullptr;
+  void FindServer();
+  void HandleHostInfo(const QHostInfo& aInfo);
+  void Send(const std::string& aHost);
+  std::string SerializeRequest() const;
+  void HandleHead(const AnswerHead& aHead);
+  void HandleBody(std::string_view aBytes);
+  void HandleTimeout();
+  void Finish(HttpOutcome aOutcome);
+  bool IsHeldBack() const;
+
+  const HttpCallRequest mRequest;
+  std::shared_ptr<HttpClientConnection> mConnection;
+  int mStatus = 0;
+  Headers mHeaders;
+  QByteArray mUnread;
   QTimer mTimer;
   std::function<void()> mOnReadable;
   std::function<void(const HttpOutcome&)> mOnEnd;
-  bool mIsTimedOut = false;
 };
 
-/** Makes a call and hands the whole answer to a function. */
+/** Makes a call and hands the whole answer to a function. The call is cancelled
+ * with its owner, which lives on the caller's thread. */
 void
-Fetch(QNetworkAccessManager& aManager,
+Fetch(QObject& aOwner,
       const HttpCallRequest& aRequest,
       std::chrono::milliseconds aTimeout,
       std::function<void(const HttpOutcome&, const HttpAnswer&)> aOnEnd);
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -1,34 +1,30 @@
 #include "framework/net/httpcall.h"
 
-#include "framework/net/internal/singlepassbody.h"
+#include <QHostAddress>
+#include <algorithm>
 
 namespace beryllever::net {
 
 namespace {
 
-/** Whether an error only reports an HTTP status, so that the answer itself came
- * whole. */
-bool
-IsWholeAnswer(QNetworkReply::NetworkError aError)
-{
-  const bool isClientError = aError >= QNetworkReply::ContentAccessDenied &&
-                             aError <= QNetworkReply::UnknownContentError;
-  const bool isServerError = aError >= QNetworkReply::InternalServerError &&
-                             aError <= QNetworkReply::UnknownServerError;
-  return aError == QNetworkReply::NoError || isClientError || isServerError;
-}
+constexpr int kDefaultPort = 80;
 
-QNetworkRequest
-ToQt(const HttpCallRequest& aRequest)
+QString
+ReasonFor(AnswerEnd aEnd)
 {
-  QNetworkRequest request(aRequest.mUrl);
-  for (const auto& [name, value] : aRequest.mHeaders) {
-    request.setRawHeader(name, value);
+  switch (aEnd) {
+    case AnswerEnd::Complete:
+      return {};
+    case AnswerEnd::NotSent:
+      return QStringLiteral("no connection can be made");
+    case AnswerEnd::NoAnswer:
+      return QStringLiteral("the connection ended without an answer");
+    case AnswerEnd::Cut:
+      return QStringLiteral("the answer broke off");
+    case AnswerEnd::Garbled:
+      return QStringLiteral("the bytes received are no HTTP answer");
   }
-  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
-                       QNetworkRequest::ManualRedirectPolicy);
-  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
-  return request;
+  return {};
 }
 
 }
@@ -44,84 +40,163 @@
   return {};
 }
 
-HttpCall::HttpCall(QNetworkAccessManager& aManager,
-                   const HttpCallRequest& aRequest,
+HttpCall::HttpCall(const HttpCallRequest& aRequest,
                    std::chrono::milliseconds aTimeout)
+  : mRequest(aRequest)
 {
-  QNetworkRequest request = ToQt(aRequest);
-  if (!aRequest.mBody.isEmpty()) {
-    mBody = std::make_unique<SinglePassBody>(aRequest.mBody);
-    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-    request.setHeader(QNetworkRequest::ContentLengthHeader,
-                      aRequest.mBody.size());
-  }
-  mReply = aManager.sendCustomRequest(request, aRequest.mMethod, mBody.get());
-  mReply->setReadBufferSize(aRequest.mReadBufferBytes);
-  connect(mReply, &QNetworkReply::readyRead, this, [this] {
-    if (const auto onReadable = mOnReadable) {
-      onReadable();
-    }
-  });
-  connect(mReply, &QNetworkReply::finished, this, [this] { Finish(); });
   mTimer.setSingleShot(true);
-  connect(&mTimer, &QTimer::timeout, this, [this] {
-    mIsTimedOut = true;
-    mReply->abort();
-  });
+  connect(&mTimer, &QTimer::timeout, this, [this] { HandleTimeout(); });
   mTimer.start(aTimeout);
+  // The user sets the functions after the construction.
+  QTimer::singleShot(0, this, [this] { FindServer(); });
 }
 
 HttpCall::~HttpCall()
 {
-  disconnect(mReply, nullptr, this, nullptr);
-  mReply->abort();
-  // The reply reads the body until it is deleted.
-  connect(mReply,
-          &QObject::destroyed,
-          mReply,
-          [body = std::shared_ptr<SinglePassBody>(std::move(mBody))] {});
-  mReply->deleteLater();
+  if (mConnection) {
+    mConnection->Abort();
+  }
+}
+
+void
+HttpCall::FindServer()
+{
+  if (mRequest.mUrl.scheme() != QLatin1String("http")) {
+    Finish({ .mReason = QStringLiteral("the URL is not of HTTP") });
+    return;
+  }
+  const QString host = mRequest.mUrl.host();
+  if (!QHostAddress(host).isNull()) {
+    Send(host.toStdString());
+    return;
+  }
+  QHostInfo::lookupHost(
+    host, this, [this](const QHostInfo& aInfo) { HandleHostInfo(aInfo); });
+}
+
+void
+HttpCall::HandleHostInfo(const QHostInfo& aInfo)
+{
+  QList<QHostAddress> addresses = aInfo.addresses();
+  if (addresses.isEmpty()) {
+    Finish({ .mReason = aInfo.errorString() });
+    return;
+  }
+  std::stable_partition(
+    addresses.begin(), addresses.end(), [](const QHostAddress& aAddress) {
+      return aAddress.protocol() == QAbstractSocket::IPv4Protocol;
+    });
+  Send(addresses.front().toString().toStdString());
+}
+
+void
+HttpCall::Send(const std::string& aHost)
+{
+  const int port = mRequest.mUrl.port(kDefaultPort);
+  mConnection =
+    HttpClientConnection::Connect({ aHost, static_cast<uint16_t>(port) });
+  mConnection->Send(
+    SerializeRequest(),
+    { .mOnHead = [this](const AnswerHead& aHead) { HandleHead(aHead); },
+      .mOnBody = [this](std::string_view aBytes) { HandleBody(aBytes); },
+      .mOnEnd =
+        [this](AnswerEnd aEnd) {
+          Finish({ .mStatus = mStatus,
+                   .mIsComplete = aEnd == AnswerEnd::Complete,
+                   .mIsSent = aEnd != AnswerEnd::NotSent,
+                   .mReason = ReasonFor(aEnd) });
+        } },
+    mRequest.mMethod == "HEAD");
 }
 
-int
-HttpCall::Status() const
+std::string
+HttpCall::SerializeRequest() const
 {
-  return mReply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+  http::fields fields;
+  fields.set(http::field::host,
+             mRequest.mUrl.authority(QUrl::FullyEncoded).toStdString());
+  fields.set(http::field::connection, "close");
+  for (const auto& [name, value] : mRequest.mHeaders) {
+    fields.insert(name.toStdString(), value.toStdString());
+  }
+  const bool hasBody = !mRequest.mBody.isEmpty();
+  if (hasBody || mRequest.mMethod == "POST" || mRequest.mMethod == "PUT") {
+    fields.set(http::field::content_length,
+               std::to_string(mRequest.mBody.size()));
+  }
+  QUrl target = mRequest.mUrl.adjusted(
+    QUrl::RemoveScheme | QUrl::RemoveAuthority | QUrl::RemoveFragment);
+  if (target.path().isEmpty()) {
+    target.setPath(QStringLiteral("/"));
+  }
+  return HeadText(mRequest.mMethod.toStdString() + " " +
+                    target.toEncoded().toStdString() + " HTTP/1.1",
+                  fields) +
+         mRequest.mBody.toStdString();
 }
 
-Headers
-HttpCall::AllHeaders() const
+void
+HttpCall::HandleHead(const AnswerHead& aHead)
 {
-  return mReply->rawHeaderPairs();
+  mStatus = static_cast<int>(aHead.mStatus);
+  for (const auto& field : aHead.mFields) {
+    const std::string_view name = field.name_string();
+    const std::string_view value = field.value();
+    mHeaders.append({ QByteArray(name.data(), qsizetype(name.size())),
+                      QByteArray(value.data(), qsizetype(value.size())) });
+  }
+}
+
+void
+HttpCall::HandleBody(std::string_view aBytes)
+{
+  mUnread.append(aBytes.data(), static_cast<qsizetype>(aBytes.size()));
+  if (IsHeldBack()) {
+    mConnection->SetReading(false);
+  }
+  if (const auto onReadable = mOnReadable) {
+    onReadable();
+  }
 }
 
 QByteArray
 HttpCall::Read(qint64 aMax)
 {
-  return mReply->read(aMax);
+  const QByteArray bytes = mUnread.left(aMax);
+  const bool wasHeldBack = IsHeldBack();
+  mUnread.remove(0, bytes.size());
+  if (wasHeldBack && !IsHeldBack()) {
+    mConnection->SetReading(true);
+  }
+  return bytes;
+}
+
+bool
+HttpCall::IsHeldBack() const
+{
+  return mRequest.mReadBufferBytes > 0 &&
+         mUnread.size() >= mRequest.mReadBufferBytes;
 }
 
-qint64
-HttpCall::Readable() const
+void
+HttpCall::HandleTimeout()
 {
-  return mReply->bytesAvailable();
+  const bool isSent = mConnection && mConnection->IsConnected();
+  if (mConnection) {
+    mConnection->Abort();
+  }
+  Finish({ .mStatus = mStatus,
+           .mIsSent = isSent,
+           .mIsTimedOut = true,
+           .mReason = QStringLiteral("no answer within the time limit") });
 }
 
 void
-HttpCall::Finish()
+HttpCall::Finish(HttpOutcome aOutcome)
 {
   mTimer.stop();
-  HttpOutcome outcome;
-  outcome.mStatus = Status();
-  outcome.mIsComplete =
-    outcome.mStatus != 0 && !mIsTimedOut && IsWholeAnswer(mReply->error());
-  outcome.mIsSent = !mBody || mBody->IsTouched();
-  outcome.mIsTimedOut = mIsTimedOut;
-  outcome.mReason = mIsTimedOut
-                      ? QStringLiteral("no answer within the time limit")
-                      : mReply->errorString();
-  if (const auto onEnd = mOnEnd) {
-    onEnd(outcome);
+  if (const auto onEnd = std::move(mOnEnd)) {
+    onEnd(aOutcome);
   }
 }
 
@@ -134,14 +209,15 @@
 }
 
 void
-Fetch(QNetworkAccessManager& aManager,
+Fetch(QObject& aOwner,
       const HttpCallRequest& aRequest,
       std::chrono::milliseconds aTimeout,
       std::function<void(const HttpOutcome&, const HttpAnswer&)> aOnEnd)
 {
   HttpCallRequest request = aRequest;
   request.mReadBufferBytes = 0;
-  auto* call = new HttpCall(aManager, request, aTimeout);
+  auto* call = new HttpCall(request, aTimeout);
+  call->setParent(&aOwner);
   call->SetOnEnd([call,
                   aOnEnd = std::move(aOnEnd)](const HttpOutcome& aOutcome) {
     const HttpAnswer answer{ call->AllHeaders(), call->Read(call->Readable()) };
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -53,6 +53,39 @@
   return native;
 }
 
+sockaddr_in6
+ToNative6(const TcpAddress& aAddress)
+{
+  sockaddr_in6 native{};
+  native.sin6_family = AF_INET6;
+  native.sin6_port = htons(aAddress.mPort);
+  inet_pton(AF_INET6, aAddress.mHost.c_str(), &native.sin6_addr);
+  return native;
+}
+
+bool
+IsIpv6(const TcpAddress& aAddress)
+{
+  return aAddress.mHost.find(':') != std::string::npos;
+}
+
+/** Starts to connect; returns whether that has failed at once. */
+bool
+FailsToConnect(int aDescriptor, const TcpAddress& aAddress)
+{
+  int result = 0;
+  if (IsIpv6(aAddress)) {
+    const sockaddr_in6 native = ToNative6(aAddress);
+    result = connect(
+      aDescriptor, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+  } else {
+    const sockaddr_in native = ToNative(aAddress);
+    result = connect(
+      aDescriptor, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+  }
+  return result != 0 && errno != EINPROGRESS;
+}
+
 void
 DisableAndDelete(QSocketNotifier*& aNotifier)
 {
@@ -107,8 +140,9 @@
 std::shared_ptr<TcpSocket>
 TcpSocket::Connecting(const TcpAddress& aAddress)
 {
-  const int descriptor =
-    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor = ::socket(IsIpv6(aAddress) ? AF_INET6 : AF_INET,
+                                  SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+                                  0);
   std::shared_ptr<TcpSocket> socket(new TcpSocket(descriptor));
   socket->mIsConnected = false;
   if (descriptor < 0) {
@@ -118,11 +152,7 @@
   socket->Configure();
   SetOption<unsigned>(
     descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
-  const sockaddr_in native = ToNative(aAddress);
-  if (connect(descriptor,
-              reinterpret_cast<const sockaddr*>(&native),
-              sizeof(native)) != 0 &&
-      errno != EINPROGRESS) {
+  if (FailsToConnect(descriptor, aAddress)) {
     close(descriptor);
     socket->mDescriptor = -1;
     return socket;
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -10,7 +10,7 @@
 
 namespace beryllever::net {
 
-/** An IPv4 number and a port. */
+/** An IP number and a port. Only an IPv4 number can be listened on. */
 struct TcpAddress
 {
   std::string mHost;
@@ -20,7 +20,8 @@
   auto operator<=>(const TcpAddress&) const = default;
 };
 
-/** Splits "ip:port"; returns a port of 0 if the text is not such an address. */
+/** Splits "ip:port" with an IPv4 number; returns a port of 0 if the text is not
+ * such an address. */
 TcpAddress
 ParseTcpAddress(std::string_view aText);
 
--- a/src/framework/net/tests/httpcalltest.cpp
+++ b/src/framework/net/tests/httpcalltest.cpp
@@ -1,4 +1,5 @@
 #include "framework/net/httpcall.h"
+#include "framework/net/tests/loopbackpeer.h"
 
 #include <CppUTest/TestHarness.h>
 #include <QCoreApplication>
@@ -23,10 +24,12 @@
 class CountingServer
 {
 public:
-  explicit CountingServer(Treatment aTreatment)
+  explicit CountingServer(
+    Treatment aTreatment,
+    const QHostAddress& aAddress = QHostAddress::LocalHost)
     : mTreatment(aTreatment)
   {
-    mServer.listen(QHostAddress::LocalHost);
+    mServer.listen(aAddress);
     QObject::connect(
       &mServer, &QTcpServer::newConnection, [this] { Accept(); });
   }
@@ -77,12 +80,13 @@
 };
 
 net::HttpOutcome
-PostAndWait(QNetworkAccessManager& aManager, const QUrl& aUrl)
+Await(const net::HttpCallRequest& aRequest)
 {
   bool isDone = false;
   net::HttpOutcome result;
-  net::Fetch(aManager,
-             { .mMethod = "POST", .mUrl = aUrl, .mBody = "body" },
+  QObject owner;
+  net::Fetch(owner,
+             aRequest,
              std::chrono::seconds(5),
              [&](const net::HttpOutcome& aOutcome, const net::HttpAnswer&) {
                result = aOutcome;
@@ -94,6 +98,39 @@
   return result;
 }
 
+net::HttpOutcome
+PostAndWait(const QUrl& aUrl)
+{
+  return Await({ .mMethod = "POST", .mUrl = aUrl, .mBody = "body" });
+}
+
+/** Sends a call to a peer that reads it whole, sends bytes and then ends its
+ * connection in some way. */
+net::HttpOutcome
+FetchFrom(const std::string& aBytes,
+          const std::function<void(net::tests::LoopbackPeer&)>& aEnd)
+{
+  net::tests::LoopbackPeer peer;
+  std::thread server([&] {
+    peer.Accept();
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(aBytes);
+    // Lets the call read the bytes before the end arrives.
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    aEnd(peer);
+  });
+  const QString url = QStringLiteral("http://127.0.0.1:%1/").arg(peer.Port());
+  const net::HttpOutcome outcome = Await({ .mUrl = QUrl(url) });
+  server.join();
+  return outcome;
+}
+
+net::HttpOutcome
+FetchClosed(const std::string& aBytes)
+{
+  return FetchFrom(aBytes, [](auto& aPeer) { aPeer.Close(); });
+}
+
 }
 
 TEST_GROUP(HttpCall){};
@@ -101,9 +138,8 @@
 TEST(HttpCall, APostWithoutAnAnswerArrivesOnce)
 {
   CountingServer server(Treatment::CloseWithoutAnswer);
-  QNetworkAccessManager manager;
 
-  const auto outcome = PostAndWait(manager, server.Url());
+  const auto outcome = PostAndWait(server.Url());
 
   CHECK_FALSE(outcome.mIsComplete);
   CHECK(outcome.mIsSent);
@@ -113,9 +149,8 @@
 TEST(HttpCall, APostCutInsideTheStatusLineArrivesOnce)
 {
   CountingServer server(Treatment::CloseInsideStatusLine);
-  QNetworkAccessManager manager;
 
-  const auto outcome = PostAndWait(manager, server.Url());
+  const auto outcome = PostAndWait(server.Url());
 
   CHECK_FALSE(outcome.mIsComplete);
   CHECK_EQUAL(1, server.Arrivals());
@@ -124,10 +159,9 @@
 TEST(HttpCall, APostOnAReusedConnectionArrivesOnce)
 {
   CountingServer server(Treatment::AnswerThenCloseNext);
-  QNetworkAccessManager manager;
 
-  const auto first = PostAndWait(manager, server.Url());
-  const auto second = PostAndWait(manager, server.Url());
+  const auto first = PostAndWait(server.Url());
+  const auto second = PostAndWait(server.Url());
 
   CHECK(first.mIsComplete);
   CHECK_FALSE(second.mIsComplete);
@@ -139,9 +173,8 @@
   for (const Treatment treatment :
        { Treatment::CutBody, Treatment::CloseInsideStatusLine }) {
     CountingServer server(treatment);
-    QNetworkAccessManager manager;
 
-    const auto outcome = PostAndWait(manager, server.Url());
+    const auto outcome = PostAndWait(server.Url());
 
     CHECK_FALSE(outcome.mIsComplete);
     CHECK_EQUAL(1, server.Arrivals());
@@ -151,9 +184,8 @@
 TEST(HttpCall, AWholeAnswerWithAnErrorStatusIsComplete)
 {
   CountingServer server(Treatment::ServerError);
-  QNetworkAccessManager manager;
 
-  const auto outcome = PostAndWait(manager, server.Url());
+  const auto outcome = PostAndWait(server.Url());
 
   CHECK_EQUAL(500, outcome.mStatus);
   CHECK(outcome.mIsComplete);
@@ -166,10 +198,156 @@
   const QUrl url(
     QStringLiteral("http://127.0.0.1:%1/").arg(closed.serverPort()));
   closed.close();
-  QNetworkAccessManager manager;
 
-  const auto outcome = PostAndWait(manager, url);
+  const auto outcome = PostAndWait(url);
 
   CHECK_FALSE(outcome.mIsComplete);
   CHECK_FALSE(outcome.mIsSent);
 }
+
+TEST(HttpCall, AnUnframedAnswerThatIsResetIsNotComplete)
+{
+  CHECK_FALSE(FetchFrom("HTTP/1.1 200 OK\r\n\r\npart", [](auto& aPeer) {
+                aPeer.Reset();
+              }).mIsComplete);
+}
+
+TEST(HttpCall, AnUnframedAnswerThatEndsIsComplete)
+{
+  CHECK(FetchClosed("HTTP/1.1 200 OK\r\n\r\nwhole").mIsComplete);
+}
+
+TEST(HttpCall, AChunkedAnswerThatEndsEarlyIsNotComplete)
+{
+  CHECK_FALSE(
+    FetchClosed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "4\r\npart\r\n")
+      .mIsComplete);
+}
+
+TEST(HttpCall, AnInvalidStatusIsNoAnswer)
+{
+  for (const std::string status : { "000", "099", "600", "999", "20" }) {
+    const auto outcome =
+      FetchClosed("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_FALSE_TEXT(outcome.mIsComplete, status.c_str());
+    LONGS_EQUAL_TEXT(0, outcome.mStatus, status.c_str());
+  }
+}
+
+TEST(HttpCall, AHeadWithAnInvalidFieldNameIsNoAnswer)
+{
+  for (const std::string line : { "X Y: 1",
+                                  "X\tY: 1",
+                                  " X: 1",
+                                  "\tX: 1",
+                                  "X\x01Y: 1",
+                                  "X : 1",
+                                  ": 1",
+                                  "X" }) {
+    const auto outcome =
+      FetchClosed("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + line +
+                  "\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_FALSE_TEXT(outcome.mIsComplete, line.c_str());
+    LONGS_EQUAL_TEXT(0, outcome.mStatus, line.c_str());
+  }
+}
+
+TEST(HttpCall, AnUnknownTransferCodingIsNoAnswer)
+{
+  const auto outcome =
+    FetchClosed("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+                "Content-Length: 2\r\n\r\nokmore");
+  CHECK_FALSE(outcome.mIsComplete);
+}
+
+TEST(HttpCall, AnInvalidAnswerMayHaveRun)
+{
+  CHECK(FetchClosed("HTTP/1.1 000 Odd\r\n\r\n").mIsSent);
+  CHECK(FetchClosed("HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n").mIsSent);
+}
+
+TEST(HttpCall, AServerWithAHostNameIsFound)
+{
+  CountingServer server(Treatment::ServerError);
+  QUrl url = server.Url();
+  url.setHost(QStringLiteral("localhost"));
+
+  CHECK(PostAndWait(url).mIsComplete);
+}
+
+TEST(HttpCall, AServerWithAnIpv6AddressIsReached)
+{
+  CountingServer server(Treatment::ServerError, QHostAddress::LocalHostIPv6);
+  QUrl url = server.Url();
+  url.setHost(QStringLiteral("::1"));
+
+  CHECK(PostAndWait(url).mIsComplete);
+}
+
+TEST(HttpCall, AUrlThatIsNotOfHttpSendsNothing)
+{
+  const auto outcome = PostAndWait(QUrl(QStringLiteral("https://127.0.0.1/")));
+
+  CHECK_FALSE(outcome.mIsComplete);
+  CHECK_FALSE(outcome.mIsSent);
+}
+
+TEST(HttpCall, ACallWithoutAnAnswerTimesOut)
+{
+  const net::tests::LoopbackPeer silent;
+  const QString url = QStringLiteral("http://127.0.0.1:%1/").arg(silent.Port());
+  bool isDone = false;
+  net::HttpOutcome outcome;
+  net::HttpCall call({ .mUrl = QUrl(url) }, std::chrono::milliseconds(50));
+  call.SetOnEnd([&](const net::HttpOutcome& aOutcome) {
+    outcome = aOutcome;
+    isDone = true;
+  });
+
+  while (!isDone) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+
+  CHECK(outcome.mIsTimedOut);
+  CHECK(outcome.mIsSent);
+  CHECK_FALSE(outcome.mIsComplete);
+}
+
+TEST(HttpCall, AnAnswerThatIsNotReadIsHeldBack)
+{
+  constexpr qint64 kLimit = 64 * 1024;
+  constexpr size_t kAnswerBytes = 32 * 1024 * 1024;
+  net::tests::LoopbackPeer peer;
+  std::thread server([&] {
+    peer.Accept();
+    peer.ReadUntil("\r\n\r\n");
+    peer.Send(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kAnswerBytes) +
+      "\r\n\r\n" + std::string(kAnswerBytes, 'x'));
+    peer.Close();
+  });
+  const QString url = QStringLiteral("http://127.0.0.1:%1/").arg(peer.Port());
+  net::HttpCall call({ .mUrl = QUrl(url), .mReadBufferBytes = kLimit },
+                     std::chrono::seconds(10));
+  std::optional<net::HttpOutcome> outcome;
+  call.SetOnEnd([&](const net::HttpOutcome& aOutcome) { outcome = aOutcome; });
+
+  while (call.Readable() < kLimit) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  for (int i = 0; i < 20; ++i) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+  }
+  CHECK(call.Readable() < 2 * kLimit);
+  CHECK_FALSE(outcome.has_value());
+  size_t bytes = 0;
+  while (!outcome || call.Readable() > 0) {
+    QCoreApplication::processEvents(QEventLoop::AllEvents, 5);
+    bytes += static_cast<size_t>(call.Read(kLimit).size());
+  }
+  server.join();
+
+  CHECK(outcome->mIsComplete);
+  CHECK_EQUAL(kAnswerBytes, bytes);
+}
--- a/src/operations/internal/spanexporter.cpp
+++ b/src/operations/internal/spanexporter.cpp
@@ -11,11 +11,9 @@
 
 }
 
-SpanExporter::SpanExporter(QNetworkAccessManager& aManager,
-                           tracing::Tracer& aTracer,
+SpanExporter::SpanExporter(tracing::Tracer& aTracer,
                            const std::string& aCollector)
-  : mManager(aManager)
-  , mTracer(aTracer)
+  : mTracer(aTracer)
   , mCollector(QString::fromStdString(aCollector))
 {
   QObject::connect(&mTimer, &QTimer::timeout, &mTimer, [this] { Flush(); });
@@ -29,7 +27,7 @@
   if (spans.empty() || mCollector.isEmpty()) {
     return;
   }
-  net::Fetch(mManager,
+  net::Fetch(mTimer,
              { .mMethod = "POST",
                .mUrl = QUrl(mCollector + "/v1/traces"),
                .mHeaders = { { "Content-Type", "application/json" } },
--- a/src/operations/spanexporter.h
+++ b/src/operations/spanexporter.h
@@ -2,7 +2,6 @@
 
 #include "framework/tracing/tracer.h"
 
-#include <QNetworkAccessManager>
 #include <QTimer>
 #include <string>
 
@@ -13,15 +12,12 @@
 class SpanExporter
 {
 public:
-  SpanExporter(QNetworkAccessManager& aManager,
-               tracing::Tracer& aTracer,
-               const std::string& aCollector);
+  SpanExporter(tracing::Tracer& aTracer, const std::string& aCollector);
 
   /** Exports the spans that have ended since the last call. */
   void Flush();
 
 private:
-  QNetworkAccessManager& mManager;
   tracing::Tracer& mTracer;
   const QString mCollector;
   QTimer mTimer;
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -86,7 +86,7 @@
     Json{ { "port", mPort }, { "step", mStep + 1 } }.dump());
   for (const int peer : mPeers) {
     net::Fetch(
-      mManager,
+      mContext,
       { .mMethod = "PUT",
         .mUrl =
           QUrl(QStringLiteral("http://127.0.0.1:%1/standin/step").arg(peer)),
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -5,7 +5,6 @@
 
 #include <QList>
 #include <QMap>
-#include <QNetworkAccessManager>
 #include <QSet>
 #include <QTimer>
 #include <functional>
@@ -132,7 +131,6 @@
   const int mPort;
   /** Map of each step that was run. */
   Json mHistory = Json::array();
-  QNetworkAccessManager mManager;
   QTimer mTimer;
   QObject mContext;
 };
