Fill socket addresses of both families in one place

The conversions to IPv4 and IPv6 stood beside each other, with a connect each, since the calls of HttpCall reach IPv6 numbers too. One union with its length serves connecting and listening.

--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -114,7 +114,9 @@
 {
   http::fields fields;
   fields.set(http::field::host,
-             mRequest.mUrl.authority(QUrl::FullyEncoded).toStdString());
+             mRequest.mUrl.adjusted(QUrl::RemoveUserInfo)
+               .authority(QUrl::FullyEncoded)
+               .toStdString());
   fields.set(http::field::connection, "close");
   for (const auto& [name, value] : mRequest.mHeaders) {
     fields.insert(name.toStdString(), value.toStdString());
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -43,47 +43,34 @@
   }
 }
 
-sockaddr_in
+/** An address as the kernel takes it. */
+struct NativeAddress
+{
+  union
+  {
+    sockaddr mAny;
+    sockaddr_in mIpv4;
+    sockaddr_in6 mIpv6{};
+  };
+  socklen_t mLength = 0;
+};
+
+NativeAddress
 ToNative(const TcpAddress& aAddress)
 {
-  sockaddr_in native{};
-  native.sin_family = AF_INET;
-  native.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mHost.c_str(), &native.sin_addr);
-  return native;
-}
-
-sockaddr_in6
-ToNative6(const TcpAddress& aAddress)
-{
-  sockaddr_in6 native{};
-  native.sin6_family = AF_INET6;
-  native.sin6_port = htons(aAddress.mPort);
-  inet_pton(AF_INET6, aAddress.mHost.c_str(), &native.sin6_addr);
-  return native;
-}
-
-bool
-IsIpv6(const TcpAddress& aAddress)
-{
-  return aAddress.mHost.find(':') != std::string::npos;
-}
-
-/** Starts to connect; returns whether that has failed at once. */
-bool
-FailsToConnect(int aDescriptor, const TcpAddress& aAddress)
-{
-  int result = 0;
-  if (IsIpv6(aAddress)) {
-    const sockaddr_in6 native = ToNative6(aAddress);
-    result = connect(
-      aDescriptor, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+  NativeAddress native;
+  if (aAddress.mHost.find(':') != std::string::npos) {
+    native.mIpv6.sin6_family = AF_INET6;
+    native.mIpv6.sin6_port = htons(aAddress.mPort);
+    inet_pton(AF_INET6, aAddress.mHost.c_str(), &native.mIpv6.sin6_addr);
+    native.mLength = sizeof(native.mIpv6);
   } else {
-    const sockaddr_in native = ToNative(aAddress);
-    result = connect(
-      aDescriptor, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+    native.mIpv4.sin_family = AF_INET;
+    native.mIpv4.sin_port = htons(aAddress.mPort);
+    inet_pton(AF_INET, aAddress.mHost.c_str(), &native.mIpv4.sin_addr);
+    native.mLength = sizeof(native.mIpv4);
   }
-  return result != 0 && errno != EINPROGRESS;
+  return native;
 }
 
 void
@@ -140,9 +127,9 @@
 std::shared_ptr<TcpSocket>
 TcpSocket::Connecting(const TcpAddress& aAddress)
 {
-  const int descriptor = ::socket(IsIpv6(aAddress) ? AF_INET6 : AF_INET,
-                                  SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                                  0);
+  const NativeAddress native = ToNative(aAddress);
+  const int descriptor = ::socket(
+    native.mAny.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   std::shared_ptr<TcpSocket> socket(new TcpSocket(descriptor));
   socket->mIsConnected = false;
   if (descriptor < 0) {
@@ -152,7 +139,8 @@
   socket->Configure();
   SetOption<unsigned>(
     descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
-  if (FailsToConnect(descriptor, aAddress)) {
+  if (connect(descriptor, &native.mAny, native.mLength) != 0 &&
+      errno != EINPROGRESS) {
     close(descriptor);
     socket->mDescriptor = -1;
     return socket;
@@ -414,24 +402,23 @@
 TcpListener::Listen(const TcpAddress& aAddress, OnAccepted aOnAccepted)
 {
   mOnAccepted = std::move(aOnAccepted);
-  mDescriptor =
-    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  NativeAddress native = ToNative(aAddress);
+  mDescriptor = ::socket(
+    native.mAny.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (mDescriptor < 0) {
     return false;
   }
   SetOption<int>(mDescriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-  sockaddr_in native = ToNative(aAddress);
-  socklen_t length = sizeof(native);
-  auto* const address = reinterpret_cast<sockaddr*>(&native);
-  if (bind(mDescriptor, address, length) != 0 ||
+  if (bind(mDescriptor, &native.mAny, native.mLength) != 0 ||
       listen(mDescriptor, kBacklog) != 0 ||
-      getsockname(mDescriptor, address, &length) != 0) {
+      getsockname(mDescriptor, &native.mAny, &native.mLength) != 0) {
     LOGE("An address cannot be listened on. address="
          << ToText(aAddress) << " reason=" << std::strerror(errno));
     Close();
     return false;
   }
-  mPort = ntohs(native.sin_port);
+  // It lies at the same place for both families.
+  mPort = ntohs(native.mIpv4.sin_port);
   mNotifier =
     std::make_unique<QSocketNotifier>(mDescriptor, QSocketNotifier::Read);
   QObject::connect(mNotifier.get(),
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -10,7 +10,7 @@
 
 namespace beryllever::net {
 
-/** An IP number and a port. Only an IPv4 number can be listened on. */
+/** An IPv4 or IPv6 number and a port. */
 struct TcpAddress
 {
   std::string mHost;
