Bound the connections of an agent to its back end again

Cause: Qt opens six connections to a server at a time and lets further calls wait. Without that, all streams of an agent that start together send at once, and the entry buffers a window of gRPC for each.

Change: ConnectionLimit, handed to the calls of executions. A call that waits is not sent, and says so if its time passes; one that has ended sends nothing, also if its turn or its server's number comes then.

--- a/src/agent/agentmodule.cpp
+++ b/src/agent/agentmodule.cpp
@@ -35,6 +35,7 @@
     aKernel.Get<configuration::IConfiguration>(),
     *aKernel.Get<metrics::Metrics>(),
     ExecutionContext{ *clock,
+                      mBackEndConnections,
                       mTrafficContext,
                       *aKernel.Get<tracing::Tracer>(),
                       settings->BackEnd(),
--- a/src/agent/agentmodule.h
+++ b/src/agent/agentmodule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "framework/kernel/imodule.h"
+#include "framework/net/connectionlimit.h"
 
 #include <QObject>
 #include <QThread>
@@ -30,6 +31,10 @@
   void Stop() override;
 
 private:
+  /** Bounds what the streams of one agent can make an entry buffer at once. */
+  static constexpr size_t kMaxBackEndConnections = 32;
+
+  net::ConnectionLimit mBackEndConnections{ kMaxBackEndConnections };
   QThread mTrafficThread;
   QObject* mTrafficContext = nullptr;
   QObject mControlContext;
--- a/src/agent/internal/execution.cpp
+++ b/src/agent/internal/execution.cpp
@@ -75,7 +75,8 @@
   const auto minTimeout = IsTicketed() ? kTicketTimeout : kStallCheckInterval;
   const auto timeout = IsStreamed() ? std::chrono::milliseconds(kStreamTimeout)
                                     : std::max(remaining, minTimeout);
-  mCall = std::make_unique<net::HttpCall>(MakeRequest(), timeout);
+  mCall = std::make_unique<net::HttpCall>(
+    MakeRequest(), timeout, &mContext.mBackEndConnections);
   mCall->SetOnReadable([this] { ForwardResponse(); });
   mCall->SetOnEnd(
     [this](const net::HttpOutcome& aOutcome) { HandleEnd(aOutcome); });
--- a/src/agent/internal/execution.h
+++ b/src/agent/internal/execution.h
@@ -47,6 +47,7 @@
 struct ExecutionContext
 {
   const global::IClock& mClock;
+  net::ConnectionLimit& mBackEndConnections;
   QObject* mThreadContext;
   tracing::Tracer& mTracer;
   std::string mBackEnd;
--- a/src/agent/tests/executiontest.cpp
+++ b/src/agent/tests/executiontest.cpp
@@ -102,7 +102,9 @@
   const global::SteadyClock clock;
   QObject thread;
   tracing::Tracer tracer("test");
+  net::ConnectionLimit connections(1);
   const ExecutionContext context{ clock,
+                                  connections,
                                   &thread,
                                   tracer,
                                   "http://127.0.0.1:" +
@@ -157,7 +159,9 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
       backEnd.Reset();
     });
+    net::ConnectionLimit connections(1);
     const ExecutionContext context{ mClock,
+                                    connections,
                                     &mThread,
                                     mTracer,
                                     "http://127.0.0.1:" +
--- a/src/framework/net/httpcall.h
+++ b/src/framework/net/httpcall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "framework/net/connectionlimit.h"
 #include "framework/net/httpclientconnection.h"
 #include "framework/net/nettypes.h"
 
@@ -54,7 +55,10 @@
 class HttpCall : public QObject
 {
 public:
-  HttpCall(const HttpCallRequest& aRequest, std::chrono::milliseconds aTimeout);
+  /** With a limit, the call may have to wait before it is sent. */
+  HttpCall(const HttpCallRequest& aRequest,
+           std::chrono::milliseconds aTimeout,
+           ConnectionLimit* aLimit = nullptr);
   ~HttpCall() override;
 
   /** Called when bytes of the answer can be read. */
@@ -79,6 +83,8 @@
   qint64 Readable() const { return mUnread.size(); }
 
 private:
+  void Begin();
+  void ReleaseConnection();
   void FindServer();
   void HandleHostInfo(const QHostInfo& aInfo);
   void Send(const std::string& aHost);
@@ -90,10 +96,13 @@
   bool IsHeldBack() const;
 
   const HttpCallRequest mRequest;
+  ConnectionLimit* const mLimit;
   std::shared_ptr<HttpClientConnection> mConnection;
   int mStatus = 0;
   Headers mHeaders;
   QByteArray mUnread;
+  /** The end has been told; nothing is sent any more. */
+  bool mHasEnded = false;
   QTimer mTimer;
   std::function<void()> mOnReadable;
   std::function<void(const HttpOutcome&)> mOnEnd;
--- a/src/framework/net/internal/httpcall.cpp
+++ b/src/framework/net/internal/httpcall.cpp
@@ -41,14 +41,19 @@
 }
 
 HttpCall::HttpCall(const HttpCallRequest& aRequest,
-                   std::chrono::milliseconds aTimeout)
+                   std::chrono::milliseconds aTimeout,
+                   ConnectionLimit* aLimit)
   : mRequest(aRequest)
+  , mLimit(aLimit)
 {
   mTimer.setSingleShot(true);
   connect(&mTimer, &QTimer::timeout, this, [this] { HandleTimeout(); });
   mTimer.start(aTimeout);
-  // The user sets the functions after the construction.
-  QTimer::singleShot(0, this, [this] { FindServer(); });
+  if (mLimit == nullptr) {
+    Begin();
+  } else {
+    mLimit->Acquire(*this, [this] { Begin(); });
+  }
 }
 
 HttpCall::~HttpCall()
@@ -56,11 +61,31 @@
   if (mConnection) {
     mConnection->Abort();
   }
+  ReleaseConnection();
+}
+
+void
+HttpCall::Begin()
+{
+  // The user sets the functions after the construction, and a call that waits
+  // begins while another one ends.
+  QTimer::singleShot(0, this, [this] { FindServer(); });
+}
+
+void
+HttpCall::ReleaseConnection()
+{
+  if (mLimit != nullptr) {
+    mLimit->Release(*this);
+  }
 }
 
 void
 HttpCall::FindServer()
 {
+  if (mHasEnded) {
+    return;
+  }
   if (mRequest.mUrl.scheme() != QLatin1String("http")) {
     Finish({ .mReason = QStringLiteral("the URL is not of HTTP") });
     return;
@@ -77,6 +102,9 @@
 void
 HttpCall::HandleHostInfo(const QHostInfo& aInfo)
 {
+  if (mHasEnded) {
+    return;
+  }
   QList<QHostAddress> addresses = aInfo.addresses();
   if (addresses.isEmpty()) {
     Finish({ .mReason = aInfo.errorString() });
@@ -196,7 +224,9 @@
 void
 HttpCall::Finish(HttpOutcome aOutcome)
 {
+  mHasEnded = true;
   mTimer.stop();
+  ReleaseConnection();
   if (const auto onEnd = std::move(mOnEnd)) {
     onEnd(aOutcome);
   }
