Let clang build the group of an agent's broken answers

A const member without an initialiser deletes the default constructor of the group for clang, and so for clang-tidy; g++ takes it. The member is not const any more. clang-tidy passes on the file.

--- a/src/agent/tests/executiontest.cpp
+++ b/src/agent/tests/executiontest.cpp
@@ -142,7 +142,7 @@
 
 TEST_GROUP(ExecutionOfABrokenAnswer)
 {
-  const global::SteadyClock mClock;
+  global::SteadyClock mClock;
   QObject mThread;
   tracing::Tracer mTracer{ "test" };
 
