Give tests of sockets and timeouts room beside load

The part that is left unread when a reset arrives is 40 kB in place of 100: it must fit into the receive window, or the reset takes the rest with it on other kernels. Calls that have to be sent before they time out get 300 ms in place of 50. No check is changed.

--- a/src/framework/net/tests/connectionlimittest.cpp
+++ b/src/framework/net/tests/connectionlimittest.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTimeout{ 5000 };
-constexpr std::chrono::milliseconds kShortTimeout{ 50 };
+constexpr std::chrono::milliseconds kShortTimeout{ 300 };
 
 }
 
--- a/src/framework/net/tests/httpcalltest.cpp
+++ b/src/framework/net/tests/httpcalltest.cpp
@@ -299,7 +299,7 @@
   const QString url = QStringLiteral("http://127.0.0.1:%1/").arg(silent.Port());
   bool isDone = false;
   net::HttpOutcome outcome;
-  net::HttpCall call({ .mUrl = QUrl(url) }, std::chrono::milliseconds(50));
+  net::HttpCall call({ .mUrl = QUrl(url) }, std::chrono::milliseconds(300));
   call.SetOnEnd([&](const net::HttpOutcome& aOutcome) {
     outcome = aOutcome;
     isDone = true;
--- a/src/framework/net/tests/tcpsockettest.cpp
+++ b/src/framework/net/tests/tcpsockettest.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kTimeout{ 5000 };
 /** More than the buffers of both ends take. */
 constexpr size_t kLongWriteBytes = 32 * 1024 * 1024;
+/** More than one read takes, and less than a receive window. */
+constexpr size_t kUnreadBytes = 40 * 1000;
 
 }
 
@@ -76,7 +78,7 @@
 
 TEST(TcpSocket, AResetThatAWriteMeetsWhileBytesAreUnreadIsNoEnd)
 {
-  const std::string part(100'000, 'p');
+  const std::string part(kUnreadBytes, 'p');
   ConnectAndWrite();
   mSocket->SetReading(false);
   mPeer.Send(part);
