Log what preceded a response that the gateway ends itself

The logs could not tell an endpoint's silence from the gateway's own stall, nor a limit of an older version from one in force.

--- a/src/gateway/internal/endpointloadtable.cpp
+++ b/src/gateway/internal/endpointloadtable.cpp
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 
-/** Age beyond which a report no longer reflects the current load. */
 /** Age beyond which data of a response no longer shows that its endpoint, or
  * the group that it belongs to, is at work. */
 constexpr milliseconds kMaxDataAge{ 500 };
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -13,6 +13,8 @@
 using std::chrono::duration_cast;
 
 constexpr char kLogTag[] = "request";
+/** Outcome of a request whose whole response has been sent. */
+constexpr char kAnswered[] = "answered";
 
 /** Time to connect to an endpoint. The network delay is below 1 ms one way; the
  * rest allows for a busy endpoint. */
@@ -491,7 +493,7 @@
                                    isFailure ? EndpointOutcome::Failed
                                              : EndpointOutcome::Succeeded);
   if (isForwarded) {
-    Finish(status, "answered");
+    Finish(status, kAnswered);
     mResponse.End();
     return;
   }
@@ -499,7 +501,7 @@
     mCaller->AnnounceClose();
   }
   mResponse.BeginWhole(status);
-  Finish(status, "answered");
+  Finish(status, kAnswered);
   mCaller->Answer(status, std::move(fields), body);
 }
 
@@ -702,6 +704,7 @@
   const auto self = shared_from_this();
   EndAttempt(EndpointOutcome::Inconclusive);
   const auto caller = mCaller;
+  mContext.mMetrics.Count("beryllever_cut_responses", { { "reason", aReason } });
   Finish(mResponse.Status(), "cut: " + aReason);
   caller->Cut();
 }
@@ -722,9 +725,10 @@
        << StopFields() << " firstByteMilliseconds="
        << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
        << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
-       << " milliseconds=" << mWait.Elapsed().count() << " version="
-       << mSnapshot->Version() << " revision=" << mContext.mSnapshot->Revision()
-       << " outcome=\"" << aOutcome << "\"");
+       << BreakFields(aOutcome) << " milliseconds=" << mWait.Elapsed().count()
+       << " version=" << mSnapshot->Version()
+       << " revision=" << mContext.mSnapshot->Revision() << " outcome=\""
+       << aOutcome << "\"");
   mContext.mMetrics.Count("beryllever_requests",
                           { { "status", std::to_string(aStatus) } });
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
@@ -736,6 +740,24 @@
   }
 }
 
+std::string
+Exchange::BreakFields(const std::string& aOutcome) const
+{
+  if (aOutcome == kAnswered) {
+    return "";
+  }
+  const auto silence = mResponse.HasBegun()
+                         ? duration_cast<milliseconds>(
+                             mContext.mClock.Now() - mResponse.LastForward())
+                         : milliseconds(-1);
+  return " silentMilliseconds=" + std::to_string(silence.count()) +
+         " limitMilliseconds=" +
+         std::to_string(
+           duration_cast<milliseconds>(mWait.TotalTime()).count()) +
+         " versionInForce=" + std::to_string(mContext.mSnapshot->Version()) +
+         " lastFailure=\"" + mLastFailure + "\"";
+}
+
 std::string
 Exchange::StopFields() const
 {
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -1,16 +1,21 @@
 #include "gateway/internal/trafficcontext.h"
 
 #include "framework/global/identifiers.h"
+#include "framework/log/log.h"
 
 namespace beryllever::gateway {
 
 namespace {
 
+constexpr char kLogTag[] = "traffic";
 /** Delay after which queued requests try again even without a change. */
 constexpr milliseconds kRecheckInterval{ 25 };
 /** Interval at which expired connections are closed and idle endpoints that
  * are not in the snapshot are removed from the balancer. */
 constexpr milliseconds kSweepInterval{ 500 };
+/** Delay of a sweep above which it is logged that the thread stood still: much
+ * of the time for which callers of streams wait for an event. */
+constexpr milliseconds kMaxSweepDelay{ 250 };
 
 }
 
@@ -36,12 +41,28 @@
   QObject::connect(
     &mWakeTimer, &QTimer::timeout, &mWakeTimer, [this] { RetryQueued(); });
   QObject::connect(&mSweepTimer, &QTimer::timeout, &mSweepTimer, [this] {
+    RecordStall();
     mConnections.CloseExpired(*mSnapshot);
     mBalancer.RemoveMissing(*mSnapshot);
   });
+  mLastSweep = mClock.Now();
   mSweepTimer.start(kSweepInterval);
 }
 
+void
+TrafficContext::RecordStall()
+{
+  const auto now = mClock.Now();
+  const auto delay = std::chrono::duration_cast<milliseconds>(
+    now - mLastSweep - kSweepInterval);
+  mLastSweep = now;
+  if (delay <= kMaxSweepDelay) {
+    return;
+  }
+  LOGW("The traffic thread stood still. milliseconds=" << delay.count());
+  mMetrics.Count("beryllever_traffic_stalls");
+}
+
 void
 TrafficContext::SetSnapshot(
   std::shared_ptr<const published::Snapshot> aSnapshot)
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -73,6 +73,8 @@
   bool mIsAccepting = true;
 
 private:
+  /** Logs and counts that the thread did not run for a while. */
+  void RecordStall();
   void RetryQueued();
   /** Serves a pool's waiting requests, and gives up those that cannot be served
    * in time. */
@@ -88,6 +90,7 @@
   std::map<std::string, PoolAdmission> mAdmissions;
   QTimer mWakeTimer;
   QTimer mSweepTimer;
+  global::TimePoint mLastSweep{};
 };
 
 }
