Keep a silent attempt until another endpoint contributes

Callers saw streams cut in their middle, and a 502 for a late response, though their endpoint was sound and would have gone on. After 1.75 s without data (0.35 of the time for a lookup) the gateway ended the attempt, and only then looked for another endpoint. Where none took the request (all full or closed, the pool missing in the configuration of that moment, a refusal, the same silence), a response that had begun was cut.

The attempt now stays open. Another endpoint is tried beside it once one has room and the budget allows it; the first of the two that contributes to the response goes on, and the other one is ended. If the other one fails, the silent one keeps the request. A part of an event is no contribution, so that a stream that drips bytes does not keep its place.

--- a/src/gateway/eventassembler.h
+++ b/src/gateway/eventassembler.h
@@ -19,6 +19,8 @@
    * unchanged. After a resumption, leaves out the events whose numeric id is
    * not above LastId(). */
   std::string Append(std::string_view aBytes);
+  /** Whether Append would return an event, new or not. */
+  bool CompletesEvent(std::string_view aBytes) const;
   /** Returns the line ends after the last complete event, for the end of a
    * stream. */
   std::string TakeRemainder();
--- a/src/gateway/internal/attempt.cpp
+++ b/src/gateway/internal/attempt.cpp
@@ -11,9 +11,6 @@
 /** The same for an endpoint whose agent is silent too. Leaves the caller time
  * for an answer from another endpoint. */
 constexpr milliseconds kSilentEndpointTimeout{ 700 };
-/** Time until the next look at an endpoint that has sent no data for so long.
- */
-constexpr milliseconds kSilenceCheckInterval{ 100 };
 /** Fraction of the request's timeout after which an idempotent request without
  * a response is retried on another endpoint. */
 constexpr double kIdempotentTimeoutFraction = 0.35;
--- a/src/gateway/internal/attempt.h
+++ b/src/gateway/internal/attempt.h
@@ -15,6 +15,10 @@
 /** One attempt to serve a request at an endpoint. */
 struct Attempt
 {
+  /** Time until the next look at an endpoint that has sent no data for so long.
+   */
+  static constexpr milliseconds kSilenceCheckInterval{ 100 };
+
   /** Whether data of the answer has come so long after its first event that
    * its endpoint does not crash as it begins to write. */
   bool HasOutlastedBegin(const ResponseForwarder& aResponse,
--- a/src/gateway/internal/eventassembler.cpp
+++ b/src/gateway/internal/eventassembler.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::string_view kEventEnd = "\n\n";
+
 /** Returns the number at the start of the event's first id field that has one;
  * text after the number is ignored. */
 std::optional<int64_t>
@@ -39,7 +41,6 @@
 std::string
 EventAssembler::Append(std::string_view aBytes)
 {
-  constexpr std::string_view kEventEnd = "\n\n";
   mBuffer.append(aBytes);
   std::string events;
   size_t start = 0;
@@ -56,6 +57,13 @@
   return events;
 }
 
+bool
+EventAssembler::CompletesEvent(std::string_view aBytes) const
+{
+  const bool isEndSplit = mBuffer.ends_with('\n') && aBytes.starts_with('\n');
+  return isEndSplit || aBytes.find(kEventEnd) != std::string_view::npos;
+}
+
 std::string
 EventAssembler::TakeRemainder()
 {
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -120,12 +120,7 @@
     WaitForEndpoint();
     return;
   }
-  const PlacementRequest request{ mPool,
-                                  mContext.mAvailabilityZone,
-                                  mTriedEndpoints,
-                                  mWait.PlacementPriority() };
-  const Placement placement =
-    mContext.mBalancer.Choose(*mContext.mSnapshot, request);
+  const Placement placement = FindPlace();
   if (placement.mStatus == PlacementStatus::Chosen) {
     Send(*placement.mEndpoint);
     return;
@@ -148,6 +143,16 @@
                                    : mLastFailure);
 }
 
+Placement
+Exchange::FindPlace()
+{
+  return mContext.mBalancer.Choose(*mContext.mSnapshot,
+                                   { mPool,
+                                     mContext.mAvailabilityZone,
+                                     mTriedEndpoints,
+                                     mWait.PlacementPriority() });
+}
+
 void
 Exchange::WaitForEndpoint()
 {
@@ -228,7 +233,7 @@
     aEndpoint, !mAdmission.mRoute->IsRepeatable());
   mAttemptTimer.start(kConnectTimeout);
   mAttempt->mLease.mConnection->Send(SerializeRequest(aEndpoint),
-                                     ResponseHandlers(),
+                                     ResponseHandlers(*mAttempt),
                                      mRequest.mMethod == "HEAD");
 }
 
@@ -258,29 +263,53 @@
 }
 
 net::HttpClientConnection::Handlers
-Exchange::ResponseHandlers()
+Exchange::ResponseHandlers(const Attempt& aAttempt)
 {
   const std::weak_ptr<Exchange> weak = weak_from_this();
+  // Only compared: the attempt may have ended.
+  const Attempt* const attempt = &aAttempt;
   return { .mOnHead =
-             [weak](const net::AnswerHead& aHead) {
-               if (const auto self = weak.lock()) {
+             [weak, attempt](const net::AnswerHead& aHead) {
+               const auto self = weak.lock();
+               if (self && self->Select(attempt)) {
                  self->HandleHead(aHead);
                }
              },
            .mOnBody =
-             [weak](std::string_view aBytes) {
-               if (const auto self = weak.lock()) {
+             [weak, attempt](std::string_view aBytes) {
+               const auto self = weak.lock();
+               if (self && attempt == self->mSilentAttempt.get()) {
+                 self->HandleSilentBody(aBytes);
+               } else if (self && self->Select(attempt)) {
                  self->HandleBody(aBytes);
                }
              },
            .mOnEnd =
-             [weak](net::AnswerEnd aEnd) {
-               if (const auto self = weak.lock()) {
+             [weak, attempt](net::AnswerEnd aEnd) {
+               const auto self = weak.lock();
+               const bool isBrokenSilent =
+                 self && attempt == self->mSilentAttempt.get() &&
+                 aEnd != net::AnswerEnd::Complete;
+               if (isBrokenSilent) {
+                 self->EndSilentAttempt(EndpointOutcome::Failed);
+               } else if (self && self->Select(attempt)) {
                  self->HandleEnd(aEnd);
                }
              } };
 }
 
+bool
+Exchange::Select(const Attempt* aAttempt)
+{
+  if (mIsFinished) {
+    return false;
+  }
+  if (aAttempt == mSilentAttempt.get()) {
+    ReturnToSilentAttempt();
+  }
+  return aAttempt == mAttempt.get();
+}
+
 void
 Exchange::HandleHead(const net::AnswerHead& aHead)
 {
@@ -333,6 +362,19 @@
   BufferBody(aBytes);
 }
 
+void
+Exchange::HandleSilentBody(std::string_view aBytes)
+{
+  if (!mSilentAttempt->mIsForwarded || mResponse.CompletesEvent(aBytes)) {
+    ReturnToSilentAttempt();
+    HandleBody(aBytes);
+    return;
+  }
+  if (mResponse.Write(aBytes) == ForwardResult::EventTooLarge) {
+    EndSilentAttempt(EndpointOutcome::Failed);
+  }
+}
+
 void
 Exchange::BufferBody(std::string_view aBytes)
 {
@@ -361,6 +403,9 @@
 Exchange::ForwardHead()
 {
   mAttempt->mIsForwarded = true;
+  if (!mResponse.HasBegun()) {
+    EndSilentAttempt(EndpointOutcome::Failed);
+  }
   if (mContext.mStop) {
     mCaller->AnnounceClose();
   }
@@ -370,6 +415,7 @@
 void
 Exchange::ForwardBody(std::string_view aBytes)
 {
+  EndSilentAttempt(EndpointOutcome::Failed);
   switch (mResponse.Write(aBytes)) {
     case ForwardResult::SkippedEvents:
       AbortResponse("resumed stream skips events");
@@ -412,7 +458,7 @@
          << " endpoint=" << mAttempt->mEndpoint.mId);
     mAttempt->mHead.reset();
     mAttempt->mIsMismatched = false;
-    mAttempt->mLease.mConnection->AwaitNextAnswer(ResponseHandlers());
+    mAttempt->mLease.mConnection->AwaitNextAnswer(ResponseHandlers(*mAttempt));
     return;
   }
   if (aEnd == net::AnswerEnd::NotSent) {
@@ -425,6 +471,9 @@
     HandleNotExecuted();
     return;
   }
+  if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsForwarded) {
+    EndSilentAttempt(EndpointOutcome::Failed);
+  }
   if (aEnd == net::AnswerEnd::Complete && IsBrokenOffStream()) {
     RecordBreak();
     HandleBrokenAttempt("stream ended inside an event or without one");
@@ -462,6 +511,12 @@
 {
   const unsigned status = mAttempt->mHead->mStatus;
   const bool isFailure = status >= 500;
+  if (isFailure && mSilentAttempt) {
+    mLastFailure = "endpoint returned status " + std::to_string(status);
+    EndAttempt(EndpointOutcome::Failed);
+    ReturnToSilentAttempt();
+    return;
+  }
   if (isFailure && !mAttempt->mIsForwarded && TryConsumeRetry()) {
     mMayHaveExecuted = true;
     mLastFailure = "endpoint returned status " + std::to_string(status);
@@ -566,6 +621,10 @@
 void
 Exchange::Retry(const std::string& aReason)
 {
+  if (mSilentAttempt) {
+    ReturnToSilentAttempt();
+    return;
+  }
   if (!CanRetry() || !mContext.RetryBudgetFor(mPool).TryConsume()) {
     FailRequest(mLastFailure);
     return;
@@ -581,19 +640,48 @@
 Exchange::EndAttempt(EndpointOutcome aOutcome)
 {
   mAttemptTimer.stop();
-  if (!mAttempt) {
+  End(std::move(mAttempt), aOutcome);
+}
+
+void
+Exchange::End(std::unique_ptr<Attempt> aAttempt, EndpointOutcome aOutcome)
+{
+  if (!aAttempt) {
     return;
   }
-  const auto attempt = std::move(mAttempt);
-  attempt->mLease.mConnection->Abort();
+  aAttempt->mLease.mConnection->Abort();
   if (aOutcome != EndpointOutcome::Refused &&
       aOutcome != EndpointOutcome::Unreachable) {
     mWait.RecordFreed();
   }
-  mContext.mBalancer.RecordOutcome(attempt->mEndpoint.mId, aOutcome);
+  mContext.mBalancer.RecordOutcome(aAttempt->mEndpoint.mId, aOutcome);
   mContext.WakeQueued();
 }
 
+void
+Exchange::ReturnToSilentAttempt()
+{
+  EndAttempt(EndpointOutcome::Inconclusive);
+  mAttempt = std::move(mSilentAttempt);
+  mLastEndpoint = mAttempt->mEndpoint.mId;
+  LOGI("The silent endpoint keeps the request. request="
+       << mMetadata.mRequestId << " endpoint=" << mLastEndpoint
+       << " attempts=" << mAttempts << " reason=\"" << mLastFailure << "\"");
+  mAttemptTimer.start(Attempt::kSilenceCheckInterval);
+}
+
+void
+Exchange::EndSilentAttempt(EndpointOutcome aOutcome)
+{
+  if (!mSilentAttempt) {
+    return;
+  }
+  End(std::move(mSilentAttempt), aOutcome);
+  if (mResponse.HasBegun()) {
+    mResponse.BeginResumption();
+  }
+}
+
 void
 Exchange::HandleAttemptTimeout()
 {
@@ -622,19 +710,33 @@
     mAttemptTimer.start(kStreamIdleTimeout);
     return;
   }
-  if (!TryConsumeRetry()) {
+  TryBesideSilentAttempt(age);
+}
+
+void
+Exchange::TryBesideSilentAttempt(milliseconds aSilence)
+{
+  if (mSilentAttempt || !mAdmission.mRoute->IsRepeatable() || !CanRetry()) {
+    return;
+  }
+  const bool isSuspected =
+    mContext.mPromptGuard.FindRefusal(mMetadata).has_value();
+  const Placement placement = isSuspected ? Placement{} : FindPlace();
+  if (placement.mStatus != PlacementStatus::Chosen ||
+      !mContext.RetryBudgetFor(mPool).TryConsume()) {
+    mAttemptTimer.start(Attempt::kSilenceCheckInterval);
     return;
   }
+  LOGW("Endpoint sent no data in time; trying another endpoint beside it. "
+       "request="
+       << mMetadata.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
+       << " silentMilliseconds=" << aSilence.count()
+       << " otherEndpoint=" << placement.mEndpoint->mId);
+  mContext.mMetrics.Count("beryllever_repeats", { { "reason", "silent" } });
   mMayHaveExecuted = true;
   mLastFailure = "endpoint sent no data in time";
-  LOGW("Endpoint sent no data in time; retrying on another endpoint. request="
-       << mMetadata.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
-       << " silentMilliseconds=" << age.count());
-  EndAttempt(EndpointOutcome::Failed);
-  if (mResponse.HasBegun()) {
-    mResponse.BeginResumption();
-  }
-  PlaceRequest();
+  mSilentAttempt = std::move(mAttempt);
+  Send(*placement.mEndpoint);
 }
 
 void
@@ -704,7 +806,8 @@
   const auto self = shared_from_this();
   EndAttempt(EndpointOutcome::Inconclusive);
   const auto caller = mCaller;
-  mContext.mMetrics.Count("beryllever_cut_responses", { { "reason", aReason } });
+  mContext.mMetrics.Count("beryllever_cut_responses",
+                          { { "reason", aReason } });
   Finish(mResponse.Status(), "cut: " + aReason);
   caller->Cut();
 }
@@ -726,14 +829,14 @@
        << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
        << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
        << BreakFields(aOutcome) << " milliseconds=" << mWait.Elapsed().count()
-       << " version=" << mSnapshot->Version()
-       << " revision=" << mContext.mSnapshot->Revision() << " outcome=\""
-       << aOutcome << "\"");
+       << " version=" << mSnapshot->Version() << " revision="
+       << mContext.mSnapshot->Revision() << " outcome=\"" << aOutcome << "\"");
   mContext.mMetrics.Count("beryllever_requests",
                           { { "status", std::to_string(aStatus) } });
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
                            static_cast<double>(mWait.Elapsed().count()));
   mAttempt.reset();
+  EndSilentAttempt(EndpointOutcome::Inconclusive);
   mContext.WakeQueued();
   if (const auto onEnd = std::move(mOnEnd)) {
     onEnd();
@@ -747,8 +850,8 @@
     return "";
   }
   const auto silence = mResponse.HasBegun()
-                         ? duration_cast<milliseconds>(
-                             mContext.mClock.Now() - mResponse.LastForward())
+                         ? duration_cast<milliseconds>(mContext.mClock.Now() -
+                                                       mResponse.LastForward())
                          : milliseconds(-1);
   return " silentMilliseconds=" + std::to_string(silence.count()) +
          " limitMilliseconds=" +
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -42,6 +42,8 @@
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
   void PlaceRequest();
+  /** Selects an endpoint that the request has not been sent to. */
+  Placement FindPlace();
   /** Queues the request, or fails it if it may not wait. */
   void WaitForEndpoint();
   /** Returns false if the request has to stay in the queue. */
@@ -58,9 +60,16 @@
 
   void Send(const published::Endpoint& aEndpoint);
   std::string SerializeRequest(const published::Endpoint& aEndpoint) const;
-  net::HttpClientConnection::Handlers ResponseHandlers();
+  /** Handlers of the response to the attempt. */
+  net::HttpClientConnection::Handlers ResponseHandlers(const Attempt& aAttempt);
+  /** Makes the attempt that has sent something the current one. Returns false
+   * if the attempt has ended. */
+  bool Select(const Attempt* aAttempt);
   void HandleHead(const net::AnswerHead& aHead);
   void HandleBody(std::string_view aBytes);
+  /** Forwards data of the silent attempt, which goes on if an event has become
+   * complete. */
+  void HandleSilentBody(std::string_view aBytes);
   /** Buffers data of a response that is not being forwarded. */
   void BufferBody(std::string_view aBytes);
   void HandleEnd(net::AnswerEnd aEnd);
@@ -68,6 +77,8 @@
   void HandleNotExecuted();
   void HandleBrokenAttempt(const std::string& aReason);
   void HandleAttemptTimeout();
+  /** Tries another endpoint if one has room, and keeps the silent attempt. */
+  void TryBesideSilentAttempt(milliseconds aSilence);
   void HandleDeadline();
 
   bool IsEventStream() const;
@@ -78,7 +89,13 @@
   bool TryConsumeRetry() const;
   /** Whether attempts and time are left for another attempt. */
   bool CanRetry() const;
+  /** Ends the current attempt. */
   void EndAttempt(EndpointOutcome aOutcome);
+  void End(std::unique_ptr<Attempt> aAttempt, EndpointOutcome aOutcome);
+  /** Ends the current attempt and goes on with the silent one. */
+  void ReturnToSilentAttempt();
+  /** Ends the silent attempt, if there is one; the current one takes over. */
+  void EndSilentAttempt(EndpointOutcome aOutcome);
   /** Retries on another endpoint, or fails the request if no retry is left. */
   void Retry(const std::string& aReason);
   void ForwardHead();
@@ -111,6 +128,10 @@
   std::set<std::string> mTriedEndpoints;
   int mAttempts = 0;
   std::unique_ptr<Attempt> mAttempt;
+  /** Attempt that has sent no data in time. It stays open while another
+   * endpoint is tried; the first of both that contributes to the response goes
+   * on. */
+  std::unique_ptr<Attempt> mSilentAttempt;
   /** An attempt that has ended may have run the request: its response was
    * broken or invalid, or it was retried after a server error or because no
    * data came in time. Says nothing about the attempt in progress. */
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -41,6 +41,12 @@
   /** Records that a whole response is about to be sent by other means. */
   void BeginWhole(unsigned aStatus);
   ForwardResult Write(std::string_view aBytes);
+  /** Whether the caller gets something new by these bytes, which is not so for
+   * a part of an event that goes on. */
+  bool CompletesEvent(std::string_view aBytes) const
+  {
+    return !mIsEventStream || mEvents.CompletesEvent(aBytes);
+  }
   /** Discards a partial event; another attempt continues after LastEventId().
    */
   void BeginResumption() { mEvents.BeginResumption(); }
--- a/src/gateway/tests/eventassemblertest.cpp
+++ b/src/gateway/tests/eventassemblertest.cpp
@@ -50,3 +50,14 @@
 
   CHECK(mEvents.HasGap());
 }
+
+TEST(EventAssembler, TellsWhetherBytesCompleteAnEvent)
+{
+  CHECK(mEvents.CompletesEvent("id: 1\n\nid: 2"));
+  CHECK_FALSE(mEvents.CompletesEvent("id: 1\n"));
+
+  mEvents.Append("id: 1\ndata: a\n");
+
+  CHECK(mEvents.CompletesEvent("\n"));
+  CHECK_FALSE(mEvents.CompletesEvent("data: b\n"));
+}
