--- a/src/gateway/endpointbalancer.h
+++ b/src/gateway/endpointbalancer.h
@@ -28,6 +28,9 @@
   std::set<std::string> mTriedEndpoints;
   /** 0 is the most urgent. */
   int mPriority = 0;
+  /** Whether the request may wait in the queue of an endpoint whose slots are
+   * in use. */
+  bool mMayQueueAtEndpoint = true;
 };
 
 /** Result of selecting an endpoint. */
@@ -98,6 +101,10 @@
     double mScore = 0;
   };
 
+  /** Requests that an endpoint with normal speed may have. */
+  static double NormalLimit(const published::Endpoint& aEndpoint,
+                            const published::Pool& aPool,
+                            const PlacementRequest& aRequest);
   /** Whether one more request may be sent to the endpoint now, which may have
    * aLimit requests. */
   bool HasCapacity(const published::Endpoint& aEndpoint,
--- a/src/gateway/internal/endpointbalancer.cpp
+++ b/src/gateway/internal/endpointbalancer.cpp
@@ -116,8 +116,7 @@
     hasUntried = true;
     const bool isLate = needsReport && mLoads.ReportDelay(endpoint->mId) >
                                          kMaxReportDelayForRetries;
-    const double normal =
-      endpoint->mSlots * (pool->mEngine ? 1 + kEngineQueueFraction : 2);
+    const double normal = NormalLimit(*endpoint, *pool, aRequest);
     const double factor =
       slowness ? mSlowRanks.Factor(*endpoint, *slowness) : 1;
     if (isLate || !HasCapacity(*endpoint, *pool, normal * factor)) {
@@ -168,6 +167,17 @@
   return mSlowRanks.Assess(aEndpoints);
 }
 
+double
+EndpointBalancer::NormalLimit(const published::Endpoint& aEndpoint,
+                              const published::Pool& aPool,
+                              const PlacementRequest& aRequest)
+{
+  if (!aRequest.mMayQueueAtEndpoint) {
+    return aEndpoint.mSlots;
+  }
+  return aEndpoint.mSlots * (aPool.mEngine ? 1 + kEngineQueueFraction : 2);
+}
+
 bool
 EndpointBalancer::HasCapacity(const published::Endpoint& aEndpoint,
                               const published::Pool& aPool,
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -144,13 +144,14 @@
 }
 
 Placement
-Exchange::FindPlace()
+Exchange::FindPlace(bool aMayQueueAtEndpoint)
 {
   return mContext.mBalancer.Choose(*mContext.mSnapshot,
                                    { mPool,
                                      mContext.mAvailabilityZone,
                                      mTriedEndpoints,
-                                     mWait.PlacementPriority() });
+                                     mWait.PlacementPriority(),
+                                     aMayQueueAtEndpoint });
 }
 
 void
@@ -721,7 +722,9 @@
   }
   const bool isSuspected =
     mContext.mPromptGuard.FindRefusal(mMetadata).has_value();
-  const Placement placement = isSuspected ? Placement{} : FindPlace();
+  // The silent endpoint may only be busy: a place in another queue would add
+  // load and gain nothing.
+  const Placement placement = isSuspected ? Placement{} : FindPlace(false);
   if (placement.mStatus != PlacementStatus::Chosen ||
       !mContext.RetryBudgetFor(mPool).TryConsume()) {
     mAttemptTimer.start(Attempt::kSilenceCheckInterval);
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -43,7 +43,7 @@
   /** Sends the request to an endpoint, queues it or fails it. */
   void PlaceRequest();
   /** Selects an endpoint that the request has not been sent to. */
-  Placement FindPlace();
+  Placement FindPlace(bool aMayQueueAtEndpoint = true);
   /** Queues the request, or fails it if it may not wait. */
   void WaitForEndpoint();
   /** Returns false if the request has to stay in the queue. */
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -53,8 +53,8 @@
 TrafficContext::RecordStall()
 {
   const auto now = mClock.Now();
-  const auto delay = std::chrono::duration_cast<milliseconds>(
-    now - mLastSweep - kSweepInterval);
+  const auto delay =
+    std::chrono::duration_cast<milliseconds>(now - mLastSweep - kSweepInterval);
   mLastSweep = now;
   if (delay <= kMaxSweepDelay) {
     return;
--- a/src/gateway/tests/endpointbalancertest.cpp
+++ b/src/gateway/tests/endpointbalancertest.cpp
@@ -168,6 +168,23 @@
                mBalancer.Choose(*snapshot, mRequest).mEndpoint->mId.c_str());
 }
 
+TEST(EndpointBalancer, ARequestThatMayNotQueueNeedsAFreeSlot)
+{
+  const auto snapshot = SnapshotOf({ EndpointNamed("w1") });
+  mRequest.mMayQueueAtEndpoint = false;
+  for (int i = 0; i < 4; ++i) {
+    CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+          PlacementStatus::Chosen);
+    mBalancer.RecordSent("w1");
+  }
+
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::AtCapacity);
+  mRequest.mMayQueueAtEndpoint = true;
+  CHECK(mBalancer.Choose(*snapshot, mRequest).mStatus ==
+        PlacementStatus::Chosen);
+}
+
 TEST(EndpointBalancer, TrustsNoOldReport)
 {
   const auto snapshot = SnapshotOf({ EndpointNamed("x") });
