Apply a changed idle limit to kept connections

After a version that raises the idle limit, callers found connections closed that they were still allowed to use, and a request that crossed the close got neither an answer nor a refusal.

A connection copied its limits when it was accepted. It now asks for the limits in force when it becomes idle and when a request begins to arrive, and once more before it is closed as idle. So a raised limit applies to idle connections too, without a pass over all connections.

IdleLimit in platform_test: 2 of 3 tests failed before, all hold now. ConnectionLimits in gateway_test holds. All tests of net_test (50), gateway_test (83), platform_test (133) and silentstream_test (6) hold on loopback.

--- a/src/framework/net/httpserverconnection.h
+++ b/src/framework/net/httpserverconnection.h
@@ -59,9 +59,13 @@
     std::function<void(unsigned, const std::string&)> mOnRefused;
   };
 
+  /** Returns the limits in force, which may change while the connection is
+   * open. */
+  using GetLimits = std::function<ServerLimits()>;
+
   HttpServerConnection(std::shared_ptr<TcpSocket> aSocket,
                        const global::IClock& aClock,
-                       const ServerLimits& aLimits);
+                       GetLimits aGetLimits);
 
   void Start(Handlers aHandlers);
   /** Sends a whole answer. */
@@ -114,12 +118,19 @@
   void HandleClosed();
   void HandleTimeout();
   void BeginNext();
+  /** Prepares for a request whose first bytes have arrived. */
+  void BeginReceiving();
   std::chrono::milliseconds IdleTime() const;
+  /** Waits on if the idle limit has been raised since the connection is idle.
+   * Returns false if it has not. */
+  bool TryExtendIdleTime();
   std::string ConnectionHead(unsigned aStatus, http::fields& aFields);
 
   std::shared_ptr<TcpSocket> mSocket;
   const global::IClock& mClock;
-  const ServerLimits mLimits;
+  const GetLimits mGetLimits;
+  /** Limits of the current request, or of the time until the next one. */
+  ServerLimits mLimits;
   Handlers mHandlers;
   std::unique_ptr<Parser> mParser;
   std::string mInput;
@@ -127,6 +138,8 @@
   size_t mHeldBytes = 0;
   QTimer mTimer;
   global::TimePoint mArrival{};
+  /** When the connection became ready for its next request. */
+  global::TimePoint mIdleSince{};
   int mRequests = 0;
   bool mHasHead = false;
   bool mHasRequest = false;
--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -56,10 +56,10 @@
 
 HttpServerConnection::HttpServerConnection(std::shared_ptr<TcpSocket> aSocket,
                                            const global::IClock& aClock,
-                                           const ServerLimits& aLimits)
+                                           GetLimits aGetLimits)
   : mSocket(std::move(aSocket))
   , mClock(aClock)
-  , mLimits(aLimits)
+  , mGetLimits(std::move(aGetLimits))
 {
   mTimer.setSingleShot(true);
   QObject::connect(
@@ -109,29 +109,54 @@
   return mIsClosing ? kLastIdleTime : mLimits.mIdleTimeout + kIdleSlack;
 }
 
+bool
+HttpServerConnection::TryExtendIdleTime()
+{
+  if (mIsClosing) {
+    return false;
+  }
+  mLimits = mGetLimits();
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mClock.Now() - mIdleSince);
+  if (age >= IdleTime()) {
+    return false;
+  }
+  mTimer.start(IdleTime() - age);
+  return true;
+}
+
 void
 HttpServerConnection::BeginNext()
 {
-  mParser = std::make_unique<Parser>();
-  mParser->eager(true);
-  mParser->header_limit(static_cast<uint32_t>(mLimits.mHeaderBytes));
-  mParser->body_limit(static_cast<uint64_t>(mLimits.mBodyBytes));
+  mParser.reset();
+  mLimits = mGetLimits();
+  mIdleSince = mClock.Now();
   mHasHead = false;
   mHasRequest = false;
   mHeldBytes = 0;
   mSocket->SetReading(true);
   mTimer.start(IdleTime());
   if (!mInput.empty()) {
-    mTimer.start(mLimits.mHeaderTimeout);
+    BeginReceiving();
     Parse();
   }
 }
 
+void
+HttpServerConnection::BeginReceiving()
+{
+  mLimits = mGetLimits();
+  mParser = std::make_unique<Parser>();
+  mParser->eager(true);
+  mParser->header_limit(static_cast<uint32_t>(mLimits.mHeaderBytes));
+  mParser->body_limit(static_cast<uint64_t>(mLimits.mBodyBytes));
+  mTimer.start(mLimits.mHeaderTimeout);
+}
+
 void
 HttpServerConnection::HandleData(std::string_view aBytes)
 {
   const auto self = shared_from_this();
-  const bool isFirst = mInput.empty() && !mHasHead && !mHasRequest;
   mInput.append(aBytes);
   if (mHasRequest) {
     // Reading goes on, so that a peer that leaves is noticed.
@@ -140,8 +165,8 @@
     }
     return;
   }
-  if (isFirst) {
-    mTimer.start(mLimits.mHeaderTimeout);
+  if (!mParser) {
+    BeginReceiving();
   }
   Parse();
 }
@@ -415,7 +440,9 @@
   }
   const auto self = shared_from_this();
   if (!mHasHead && mInput.empty()) {
-    Close();
+    if (!TryExtendIdleTime()) {
+      Close();
+    }
     return;
   }
   RefuseWith(408, "the request did not arrive in time");
--- a/src/gateway/internal/pageserver.cpp
+++ b/src/gateway/internal/pageserver.cpp
@@ -20,7 +20,7 @@
 {
   const uint64_t id = ++mLastId;
   const auto connection = std::make_shared<net::HttpServerConnection>(
-    std::move(aSocket), mClock, net::ServerLimits{});
+    std::move(aSocket), mClock, [] { return net::ServerLimits{}; });
   mConnections[id] = connection;
   connection->Start(
     { .mOnRequest =
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -32,6 +32,7 @@
                                             published::Snapshot::Endpoints(),
                                             std::set<std::string>(),
                                             0))
+  , mConnectionLimits(aClock)
   , mBalancer(aClock, global::RandomIdentifier())
   , mConnections(aClock)
   , mPromptGuard(aClock, aMetrics, global::RandomIdentifier())
@@ -68,6 +69,9 @@
   std::shared_ptr<const published::Snapshot> aSnapshot)
 {
   mSnapshot = std::move(aSnapshot);
+  if (mSnapshot->IsKnown()) {
+    mConnectionLimits.Update(mSnapshot->Tables().mLimits);
+  }
   mConnections.CloseExpired(*mSnapshot);
   WakeQueued();
 }
--- a/src/gateway/internal/trafficcontext.h
+++ b/src/gateway/internal/trafficcontext.h
@@ -2,6 +2,7 @@
 
 #include "framework/metrics/metrics.h"
 #include "gateway/admissionqueue.h"
+#include "gateway/connectionlimits.h"
 #include "gateway/endpointbalancer.h"
 #include "gateway/internal/endpointconnections.h"
 #include "gateway/internal/promptguard.h"
@@ -63,6 +64,7 @@
   metrics::Metrics& mMetrics;
   const std::string mAvailabilityZone;
   std::shared_ptr<const published::Snapshot> mSnapshot;
+  ConnectionLimits mConnectionLimits;
   EndpointBalancer mBalancer;
   EndpointConnections mConnections;
   PromptGuard mPromptGuard;
--- a/src/gateway/internal/trafficcore.cpp
+++ b/src/gateway/internal/trafficcore.cpp
@@ -52,25 +52,14 @@
                           [this](auto aSocket) { Accept(std::move(aSocket)); });
 }
 
-net::ServerLimits
-TrafficCore::ConnectionLimits() const
-{
-  if (!mContext.mSnapshot->IsKnown()) {
-    return {};
-  }
-  const published::CallerLimits& limits = mContext.mSnapshot->Tables().mLimits;
-  return { limits.mHeaderBytes,
-           limits.mBodyBytes,
-           limits.mHeaderTimeout,
-           limits.mIdleTimeout };
-}
-
 void
 TrafficCore::Accept(std::shared_ptr<net::TcpSocket> aSocket)
 {
   const uint64_t id = ++mLastId;
   const auto connection = std::make_shared<net::HttpServerConnection>(
-    std::move(aSocket), mContext.mClock, ConnectionLimits());
+    std::move(aSocket), mContext.mClock, [this] {
+      return mContext.mConnectionLimits.Current();
+    });
   mCallers[id].mConnection = connection;
   ++mOpen.mConnections;
   connection->Start(HandlersFor(id));
--- a/src/gateway/internal/trafficcore.h
+++ b/src/gateway/internal/trafficcore.h
@@ -71,7 +71,6 @@
    */
   bool RefuseLargestUnfinished(int64_t aMinHeldBytes);
   void ReleaseBytes(Caller& aCaller);
-  net::ServerLimits ConnectionLimits() const;
 
   TrafficContext mContext;
   OpenTraffic& mOpen;
