Retry no response that has begun unless it is an event stream

A successful response of over 256 KiB on an idempotent route is forwarded before it is complete. When its sound endpoint then paused for 1.75 s, the request was sent to a second endpoint. The complete response of that one cannot continue the first, so the gateway cut the caller off ("endpoint returned status 200 for a resumed stream"). When the endpoint broke off, the second endpoint ran the request in vain.

Exchange::CanRetry now says no once a response that is no event stream has begun, so a pause is waited out and a break ends the response at once.

Both tests of LongResponse (silentstream_test) failed before: 1 request instead of 0 at the second endpoint, and no byte of the second half after a pause of 2.3 s. They hold now.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -606,7 +606,10 @@
 bool
 Exchange::CanRetry() const
 {
-  return static_cast<int>(mTriedEndpoints.size()) <
+  // Only an event stream can be resumed.
+  const bool canContinue = !mResponse.HasBegun() || IsEventStream();
+  return canContinue &&
+         static_cast<int>(mTriedEndpoints.size()) <
            mAdmission.mRoute->mMaxAttempts &&
          mAttempts <= mAdmission.mRoute->mMaxAttempts &&
          mWait.RemainingTime() > milliseconds(20);
