Keep a silent attempt when the second endpoint cannot continue

A stream whose endpoint paused for 1.75 s was cut if the second endpoint answered its resumption with a complete response of a status below 500, such as 404: only server errors made the request return to the first endpoint.

Any complete response that cannot continue the stream now ends only the second attempt. The stream is still cut if there is no silent attempt.

SilentStream.GoesOnIfTheOtherEndpointDoesNotKnowThePath failed before and holds now; all 9 tests of silentstream_test hold.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -512,9 +512,12 @@
 {
   const unsigned status = mAttempt->mHead->mStatus;
   const bool isFailure = status >= 500;
-  if (isFailure && mSilentAttempt) {
+  // A complete response to a resumption has none of the events that are due.
+  const bool isUseless = mResponse.HasBegun() && !mAttempt->mIsForwarded;
+  if (mSilentAttempt && (isFailure || isUseless)) {
     mLastFailure = "endpoint returned status " + std::to_string(status);
-    EndAttempt(EndpointOutcome::Failed);
+    EndAttempt(isFailure ? EndpointOutcome::Failed
+                         : EndpointOutcome::Inconclusive);
     ReturnToSilentAttempt();
     return;
   }
@@ -529,7 +532,7 @@
     PlaceRequest();
     return;
   }
-  if (mResponse.HasBegun() && !mAttempt->mIsForwarded) {
+  if (isUseless) {
     AbortResponse("endpoint returned status " + std::to_string(status) +
                   " for a resumed stream");
     return;
