Read what has arrived before an idle connection is closed

After a stall of the thread the event loop may run the timer of a connection before it reads its socket. The connection was then reset with a whole request unread.

--- a/src/framework/net/internal/httpserverconnection.cpp
+++ b/src/framework/net/internal/httpserverconnection.cpp
@@ -439,6 +439,11 @@
     return;
   }
   const auto self = shared_from_this();
+  // After a stall of the thread, the timer may run before the socket is read.
+  mSocket->ReadArrived();
+  if (mHasRequest || mTimer.isActive() || !mSocket->IsOpen()) {
+    return;
+  }
   if (!mHasHead && mInput.empty()) {
     if (!TryExtendIdleTime()) {
       Close();
--- a/src/framework/net/internal/tcpsocket.cpp
+++ b/src/framework/net/internal/tcpsocket.cpp
@@ -257,6 +257,15 @@
   Release();
 }
 
+void
+TcpSocket::ReadArrived()
+{
+  const auto self = shared_from_this();
+  if (IsOpen() && mIsConnected) {
+    HandleReadable();
+  }
+}
+
 void
 TcpSocket::HandleReadable()
 {
--- a/src/framework/net/tcpsocket.h
+++ b/src/framework/net/tcpsocket.h
@@ -71,6 +71,8 @@
    * acknowledged. */
   size_t Undelivered() const { return mUndelivered; }
   void SetReading(bool aIsReading);
+  /** Reads what has arrived now, and not when the event loop gets to it. */
+  void ReadArrived();
   /** Closes in order once the kernel has taken the pending bytes, at once if
    * there are none. Only aOnClosed is called from then on: with Finished, or
    * otherwise if the peer ends the connection before. What the peer sends is
