Keep the working one of two attempts

A silent attempt was selected by any head, also that of a refusal, of a server error or of a response to another request, and the attempt at work was ended. The response was cut when the other endpoint rejected its continuation, broke off or skipped events, or answered a response that is no stream. A third endpoint was not tried while two were silent, and an endpoint that had been silent did not count as failed when another one had answered.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -272,6 +272,10 @@
   return { .mOnHead =
              [weak, attempt](const net::AnswerHead& aHead) {
                const auto self = weak.lock();
+               if (self && attempt == self->mSilentAttempt.get() &&
+                   self->EndIfUnusable(aHead)) {
+                 return;
+               }
                if (self && self->Select(attempt)) {
                  self->HandleHead(aHead);
                }
@@ -290,7 +294,8 @@
                const auto self = weak.lock();
                const bool isBrokenSilent =
                  self && attempt == self->mSilentAttempt.get() &&
-                 aEnd != net::AnswerEnd::Complete;
+                 (aEnd != net::AnswerEnd::Complete ||
+                  self->IsBrokenOffStream(*self->mSilentAttempt));
                if (isBrokenSilent) {
                  self->EndSilentAttempt(EndpointOutcome::Failed);
                } else if (self && self->Select(attempt)) {
@@ -311,6 +316,30 @@
   return aAttempt == mAttempt.get();
 }
 
+bool
+Exchange::EndIfUnusable(const net::AnswerHead& aHead)
+{
+  const ResponseMetadata metadata = mContext.mCodec.ParseResponse(aHead);
+  const bool isMismatched =
+    !metadata.mRequestId.empty() && metadata.mRequestId != mMetadata.mRequestId;
+  const bool isUnsigned = aHead.mStatus / 100 == 2 &&
+                          (!metadata.mIsSigned || metadata.mRequestId.empty());
+  const bool isUnusable = isMismatched || isUnsigned ||
+                          metadata.mIsNotExecuted || aHead.mStatus >= 500;
+  if (!isUnusable) {
+    return false;
+  }
+  RecordStatements(
+    mContext, mSilentAttempt->mEndpoint, aHead.mStatus, metadata);
+  LOGI("The response of the silent endpoint is of no use. request="
+       << mMetadata.mRequestId << " endpoint="
+       << mSilentAttempt->mEndpoint.mId << " status=" << aHead.mStatus
+       << " mismatched=" << isMismatched);
+  EndSilentAttempt(metadata.mIsNotExecuted ? EndpointOutcome::Refused
+                                           : EndpointOutcome::Failed);
+  return true;
+}
+
 void
 Exchange::HandleHead(const net::AnswerHead& aHead)
 {
@@ -416,6 +445,10 @@
 void
 Exchange::ForwardBody(std::string_view aBytes)
 {
+  if (mSilentAttempt && mResponse.WouldSkipEvents(aBytes)) {
+    HandleBrokenAttempt("resumed stream skips events");
+    return;
+  }
   EndSilentAttempt(EndpointOutcome::Failed);
   switch (mResponse.Write(aBytes)) {
     case ForwardResult::SkippedEvents:
@@ -472,10 +505,19 @@
     HandleNotExecuted();
     return;
   }
+  // A response whose end is that of its connection may have been broken off.
+  const bool isEmptyUnframed =
+    mSilentAttempt && mAttempt->mIsForwarded && IsEventStream() &&
+    mRequest.mMethod != "HEAD" && !mAttempt->mHead->mIsChunked &&
+    !mAttempt->mHead->mLength;
+  if (aEnd == net::AnswerEnd::Complete && isEmptyUnframed) {
+    HandleBrokenAttempt("stream ended without an event");
+    return;
+  }
   if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsForwarded) {
     EndSilentAttempt(EndpointOutcome::Failed);
   }
-  if (aEnd == net::AnswerEnd::Complete && IsBrokenOffStream()) {
+  if (aEnd == net::AnswerEnd::Complete && IsBrokenOffStream(*mAttempt)) {
     RecordBreak();
     HandleBrokenAttempt("stream ended inside an event or without one");
     return;
@@ -490,11 +532,11 @@
 }
 
 bool
-Exchange::IsBrokenOffStream() const
+Exchange::IsBrokenOffStream(const Attempt& aAttempt) const
 {
   const bool isResumed = mResponse.LastEventId() || mMetadata.mLastEventId;
   return IsEventStream() && mRequest.mMethod != "HEAD" &&
-         mAttempt->IsBrokenOffStream(mResponse, isResumed);
+         aAttempt.IsBrokenOffStream(mResponse, isResumed);
 }
 
 void
@@ -540,6 +582,7 @@
   if (status / 100 == 2) {
     mContext.mPromptGuard.RecordSound(mMetadata);
   }
+  EndSilentAttempt(EndpointOutcome::Failed);
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
   const std::string body = std::move(mAttempt->mBody);
@@ -723,7 +766,7 @@
 void
 Exchange::TryBesideSilentAttempt(milliseconds aSilence)
 {
-  if (mSilentAttempt || !mAdmission.mRoute->IsRepeatable() || !CanRetry()) {
+  if (!mAdmission.mRoute->IsRepeatable() || !CanRetry()) {
     return;
   }
   const bool isSuspected =
@@ -744,7 +787,11 @@
   mContext.mMetrics.Count("beryllever_repeats", { { "reason", "silent" } });
   mMayHaveExecuted = true;
   mLastFailure = "endpoint sent no data in time";
-  mSilentAttempt = std::move(mAttempt);
+  if (mSilentAttempt) {
+    EndAttempt(EndpointOutcome::Failed);
+  } else {
+    mSilentAttempt = std::move(mAttempt);
+  }
   Send(*placement.mEndpoint);
 }
 
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -65,6 +65,9 @@
   /** Makes the attempt that has sent something the current one. Returns false
    * if the attempt has ended. */
   bool Select(const Attempt* aAttempt);
+  /** Ends the silent attempt if its response cannot serve the request, so that
+   * the current attempt goes on. */
+  bool EndIfUnusable(const net::AnswerHead& aHead);
   void HandleHead(const net::AnswerHead& aHead);
   void HandleBody(std::string_view aBytes);
   /** Forwards data of the silent attempt, which goes on if an event has become
@@ -77,13 +80,14 @@
   void HandleNotExecuted();
   void HandleBrokenAttempt(const std::string& aReason);
   void HandleAttemptTimeout();
-  /** Tries another endpoint if one has room, and keeps the silent attempt. */
+  /** Tries another endpoint if one has room, and keeps the attempt that was
+   * silent first. */
   void TryBesideSilentAttempt(milliseconds aSilence);
   void HandleDeadline();
 
   bool IsEventStream() const;
   /** Whether an event stream that ended in good order was broken off. */
-  bool IsBrokenOffStream() const;
+  bool IsBrokenOffStream(const Attempt& aAttempt) const;
   /** Whether a request that may have run can be retried; consumes a retry of
    * the pool if so. */
   bool TryConsumeRetry() const;
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -47,6 +47,14 @@
   {
     return !mIsEventStream || mEvents.CompletesEvent(aBytes);
   }
+  /** Whether a resumption that begins with these bytes leaves out events. */
+  bool WouldSkipEvents(std::string_view aBytes) const
+  {
+    EventAssembler events = mEvents;
+    events.BeginResumption();
+    events.Append(aBytes);
+    return mIsEventStream && events.HasGap();
+  }
   /** Discards a partial event; another attempt continues after LastEventId().
    */
   void BeginResumption() { mEvents.BeginResumption(); }
