--- a/src/published/internal/publishedstate.cpp
+++ b/src/published/internal/publishedstate.cpp
@@ -288,8 +288,8 @@
   }
   LOGI("Configuration is in force. version="
        << aConfiguration.mVersion << " routes=" << aConfiguration.mRoutes.size()
-       << " pools=" << aConfiguration.mPools.size() << " idleMilliseconds="
-       << aConfiguration.mLimits.mIdleTimeout.count());
+       << " pools=" << aConfiguration.mPools.size()
+       << " idleMilliseconds=" << aConfiguration.mLimits.mIdleTimeout.count());
   aConfiguration.mPrioritizedPools = FindPrioritizedPools(aConfiguration);
   mConfigurationRecord = aRecord;
   mConfiguration = std::make_shared<Configuration>(std::move(aConfiguration));
