Let the head of a second attempt change nothing before it contributes

Found in review, read and not run: the head of the second attempt reset the time of the last data, by which a break is put down to a stalled group and not to a part of the prompt, though the silent attempt may go on. The head now counts once the silent attempt has ended.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -332,9 +332,8 @@
   RecordStatements(
     mContext, mSilentAttempt->mEndpoint, aHead.mStatus, metadata);
   LOGI("The response of the silent endpoint is of no use. request="
-       << mMetadata.mRequestId << " endpoint="
-       << mSilentAttempt->mEndpoint.mId << " status=" << aHead.mStatus
-       << " mismatched=" << isMismatched);
+       << mMetadata.mRequestId << " endpoint=" << mSilentAttempt->mEndpoint.mId
+       << " status=" << aHead.mStatus << " mismatched=" << isMismatched);
   EndSilentAttempt(metadata.mIsNotExecuted ? EndpointOutcome::Refused
                                            : EndpointOutcome::Failed);
   return true;
@@ -436,6 +435,10 @@
   if (!mResponse.HasBegun()) {
     EndSilentAttempt(EndpointOutcome::Failed);
   }
+  if (mSilentAttempt) {
+    // Of the two, the first that has an event contributes.
+    return;
+  }
   if (mContext.mStop) {
     mCaller->AnnounceClose();
   }
@@ -506,10 +509,10 @@
     return;
   }
   // A response whose end is that of its connection may have been broken off.
-  const bool isEmptyUnframed =
-    mSilentAttempt && mAttempt->mIsForwarded && IsEventStream() &&
-    mRequest.mMethod != "HEAD" && !mAttempt->mHead->mIsChunked &&
-    !mAttempt->mHead->mLength;
+  const bool isEmptyUnframed = mSilentAttempt && mAttempt->mIsForwarded &&
+                               IsEventStream() && mRequest.mMethod != "HEAD" &&
+                               !mAttempt->mHead->mIsChunked &&
+                               !mAttempt->mHead->mLength;
   if (aEnd == net::AnswerEnd::Complete && isEmptyUnframed) {
     HandleBrokenAttempt("stream ended without an event");
     return;
@@ -730,6 +733,9 @@
   if (mResponse.HasBegun()) {
     mResponse.BeginResumption();
   }
+  if (mAttempt && mAttempt->mIsForwarded && mResponse.HasBegun()) {
+    mResponse.Begin(*mAttempt->mHead);
+  }
 }
 
 void
@@ -745,7 +751,9 @@
     return;
   }
   const bool isForwarded = mAttempt->mIsForwarded;
-  const auto since = isForwarded ? mResponse.LastForward() : mAttempt->mSentAt;
+  const auto since = isForwarded
+                       ? std::max(mResponse.LastForward(), mAttempt->mHeadAt)
+                       : mAttempt->mSentAt;
   const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
   const milliseconds limit =
     mAttempt->Timeout(IsEventStream(),
@@ -760,11 +768,11 @@
     mAttemptTimer.start(kStreamIdleTimeout);
     return;
   }
-  TryBesideSilentAttempt(age);
+  TryBesideSilentAttempt(age, limit);
 }
 
 void
-Exchange::TryBesideSilentAttempt(milliseconds aSilence)
+Exchange::TryBesideSilentAttempt(milliseconds aSilence, milliseconds aLimit)
 {
   if (!mAdmission.mRoute->IsRepeatable() || !CanRetry()) {
     return;
@@ -776,7 +784,10 @@
   const Placement placement = isSuspected ? Placement{} : FindPlace(false);
   if (placement.mStatus != PlacementStatus::Chosen ||
       !mContext.RetryBudgetFor(mPool).TryConsume()) {
-    mAttemptTimer.start(Attempt::kSilenceCheckInterval);
+    // Later and later, since a look takes the longer the more endpoints there
+    // are, and many requests are silent at once.
+    mAttemptTimer.start(
+      std::max(Attempt::kSilenceCheckInterval, aSilence - aLimit));
     return;
   }
   LOGW("Endpoint sent no data in time; trying another endpoint beside it. "
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -82,7 +82,7 @@
   void HandleAttemptTimeout();
   /** Tries another endpoint if one has room, and keeps the attempt that was
    * silent first. */
-  void TryBesideSilentAttempt(milliseconds aSilence);
+  void TryBesideSilentAttempt(milliseconds aSilence, milliseconds aLimit);
   void HandleDeadline();
 
   bool IsEventStream() const;
