End no request before its time limit

The deadline timer was started with the time left cut down to whole milliseconds, so that responses ended up to 1 ms before the limit of the route or caller: the soak counted streams cut after 7,999 of 8,000 ms as lost. The timer now rounds up, and a timer that fires early is started again.

--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -65,7 +65,7 @@
   }
   mHasCallerDeadline = mMetadata.mRemainingTime.has_value();
   mWait.Begin(mAdmission, mPool, mMetadata);
-  mDeadlineTimer.start(std::max(milliseconds(0), mWait.RemainingTime()));
+  StartDeadlineTimer();
   if (mContext.mStop && !mContext.mStop->MayTake(mContext.mIsAccepting,
                                                  mContext.mClock.Now(),
                                                  mWait.Deadline())) {
@@ -77,6 +77,15 @@
   PlaceRequest();
 }
 
+void
+Exchange::StartDeadlineTimer()
+{
+  // Rounded up: a response that ends before its time limit counts as cut.
+  const auto left =
+    std::chrono::ceil<milliseconds>(mWait.Deadline() - mContext.mClock.Now());
+  mDeadlineTimer.start(std::max(milliseconds(0), left));
+}
+
 bool
 Exchange::TryAdmit()
 {
@@ -812,6 +821,10 @@
   if (mIsFinished) {
     return;
   }
+  if (mContext.mClock.Now() < mWait.Deadline()) {
+    StartDeadlineTimer();
+    return;
+  }
   if (mResponse.HasBegun()) {
     AbortResponse("deadline passed during the response");
     return;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -38,6 +38,7 @@
   /** Looks up the route and selects a pool. If the request may not be served,
    * responds with the reason and returns false. */
   bool TryAdmit();
+  void StartDeadlineTimer();
   /** Refuses a request that may not be complete before the process ends. */
   void RefuseForStop();
   /** Sends the request to an endpoint, queues it or fails it. */
