Judge a response's head in one place, and tell its end in one

Whether a head is of use stood twice, for the current and the silent attempt. The fields of a request's last line leave exchange.cpp. No change of behaviour; platform_test, silentstream_test and gateway_test pass.

--- a/src/gateway/internal/attempt.cpp
+++ b/src/gateway/internal/attempt.cpp
@@ -23,6 +23,42 @@
 
 }
 
+HeadKind
+ClassifyHead(const net::AnswerHead& aHead,
+             const ResponseMetadata& aMetadata,
+             const std::string& aRequestId)
+{
+  if (!aMetadata.mRequestId.empty() && aMetadata.mRequestId != aRequestId) {
+    return HeadKind::Mismatched;
+  }
+  if (aMetadata.mIsNotExecuted) {
+    return HeadKind::NotExecuted;
+  }
+  const bool isSuccess = aHead.mStatus / 100 == 2;
+  if (isSuccess && (!aMetadata.mIsSigned || aMetadata.mRequestId.empty())) {
+    return HeadKind::Unsigned;
+  }
+  return aHead.mStatus >= 500 ? HeadKind::ServerError : HeadKind::Usable;
+}
+
+std::string_view
+NameOf(HeadKind aKind)
+{
+  switch (aKind) {
+    case HeadKind::Usable:
+      return "usable";
+    case HeadKind::Mismatched:
+      return "mismatched";
+    case HeadKind::NotExecuted:
+      return "not_executed";
+    case HeadKind::Unsigned:
+      return "unsigned";
+    case HeadKind::ServerError:
+      return "server_error";
+  }
+  return "unknown";
+}
+
 bool
 Attempt::HasOutlastedBegin(const ResponseForwarder& aResponse,
                            global::TimePoint aNow) const
--- a/src/gateway/internal/attempt.h
+++ b/src/gateway/internal/attempt.h
@@ -12,6 +12,28 @@
  * which callers disconnect. */
 constexpr milliseconds kStreamIdleTimeout{ 1750 };
 
+/** What the head of a response says about its use for a request. */
+enum class HeadKind
+{
+  Usable,
+  /** It answers another request. */
+  Mismatched,
+  /** The endpoint states that it did not run the request. */
+  NotExecuted,
+  /** A success without the endpoint's signature or the request's id. */
+  Unsigned,
+  ServerError,
+};
+
+HeadKind
+ClassifyHead(const net::AnswerHead& aHead,
+             const ResponseMetadata& aMetadata,
+             const std::string& aRequestId);
+
+/** Name of the kind, for the log. */
+std::string_view
+NameOf(HeadKind aKind);
+
 /** One attempt to serve a request at an endpoint. */
 struct Attempt
 {
--- /dev/null
+++ b/src/gateway/internal/endedrequest.cpp
@@ -0,0 +1,40 @@
+#include "gateway/internal/endedrequest.h"
+
+#include <sstream>
+
+namespace beryllever::gateway {
+
+namespace {
+
+constexpr milliseconds kNone{ -1 };
+
+}
+
+std::string
+FieldsText(const EndedRequest& aEnded)
+{
+  std::ostringstream text;
+  text << "request=" << aEnded.mRequest << " route=" << aEnded.mRoute
+       << " pool=" << aEnded.mPool << " endpoint=" << aEnded.mEndpoint
+       << " status=" << aEnded.mStatus << " attempts=" << aEnded.mAttempts
+       << " connectionRequest=" << aEnded.mOrdinal;
+  if (aEnded.mArrivedAfterStop) {
+    text << " arrivedAfterStopMilliseconds="
+         << aEnded.mArrivedAfterStop->count();
+  }
+  text << " firstByteMilliseconds="
+       << aEnded.mTimeToFirstByte.value_or(kNone).count()
+       << " longestPauseMilliseconds=" << aEnded.mLongestPause.count();
+  if (const auto& broken = aEnded.mBreak) {
+    text << " silentMilliseconds=" << broken->mSilence.value_or(kNone).count()
+         << " limitMilliseconds=" << broken->mLimit.count()
+         << " versionInForce=" << broken->mVersionInForce << " lastFailure=\""
+         << broken->mLastFailure << '"';
+  }
+  text << " milliseconds=" << aEnded.mElapsed.count()
+       << " version=" << aEnded.mVersion << " revision=" << aEnded.mRevision
+       << " outcome=\"" << aEnded.mOutcome << '"';
+  return text.str();
+}
+
+}
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/exchange.h"
 
 #include "framework/log/log.h"
+#include "gateway/internal/endedrequest.h"
 #include "gateway/internal/endpointstatements.h"
 #include "gateway/internal/headerfields.h"
 
@@ -329,22 +330,17 @@
 Exchange::EndIfUnusable(const net::AnswerHead& aHead)
 {
   const ResponseMetadata metadata = mContext.mCodec.ParseResponse(aHead);
-  const bool isMismatched =
-    !metadata.mRequestId.empty() && metadata.mRequestId != mMetadata.mRequestId;
-  const bool isUnsigned = aHead.mStatus / 100 == 2 &&
-                          (!metadata.mIsSigned || metadata.mRequestId.empty());
-  const bool isUnusable = isMismatched || isUnsigned ||
-                          metadata.mIsNotExecuted || aHead.mStatus >= 500;
-  if (!isUnusable) {
+  const HeadKind kind = ClassifyHead(aHead, metadata, mMetadata.mRequestId);
+  if (kind == HeadKind::Usable) {
     return false;
   }
   RecordStatements(
     mContext, mSilentAttempt->mEndpoint, aHead.mStatus, metadata);
   LOGI("The response of the silent endpoint is of no use. request="
        << mMetadata.mRequestId << " endpoint=" << mSilentAttempt->mEndpoint.mId
-       << " status=" << aHead.mStatus << " mismatched=" << isMismatched);
-  EndSilentAttempt(metadata.mIsNotExecuted ? EndpointOutcome::Refused
-                                           : EndpointOutcome::Failed);
+       << " status=" << aHead.mStatus << " kind=" << NameOf(kind));
+  EndSilentAttempt(kind == HeadKind::NotExecuted ? EndpointOutcome::Refused
+                                                 : EndpointOutcome::Failed);
   return true;
 }
 
@@ -357,13 +353,12 @@
   mAttempt->mBody.clear();
   const ResponseMetadata& metadata = mAttempt->mMetadata;
   RecordStatements(mContext, mAttempt->mEndpoint, aHead.mStatus, metadata);
-  mAttempt->mIsMismatched =
-    !metadata.mRequestId.empty() && metadata.mRequestId != mMetadata.mRequestId;
-  if (mAttempt->mIsMismatched || metadata.mIsNotExecuted) {
+  const HeadKind kind = ClassifyHead(aHead, metadata, mMetadata.mRequestId);
+  mAttempt->mIsMismatched = kind == HeadKind::Mismatched;
+  if (mAttempt->mIsMismatched || kind == HeadKind::NotExecuted) {
     return;
   }
-  if (aHead.mStatus / 100 == 2 &&
-      (!metadata.mIsSigned || metadata.mRequestId.empty())) {
+  if (kind == HeadKind::Unsigned) {
     HandleBrokenAttempt("response is not signed");
     return;
   }
@@ -899,18 +894,7 @@
   mDeadlineTimer.stop();
   mAttemptTimer.stop();
   mWait.Leave();
-  const std::string route =
-    mAdmission.mRoute == nullptr ? "" : mAdmission.mRoute->mName;
-  LOGI("Ended. request="
-       << mMetadata.mRequestId << " route=" << route << " pool=" << mPool
-       << " endpoint=" << mLastEndpoint << " status=" << aStatus << " attempts="
-       << mAttempts << " connectionRequest=" << mRequest.mOrdinal
-       << StopFields() << " firstByteMilliseconds="
-       << mResponse.TimeToFirstByte().value_or(milliseconds(-1)).count()
-       << " longestPauseMilliseconds=" << mResponse.LongestPause().count()
-       << BreakFields(aOutcome) << " milliseconds=" << mWait.Elapsed().count()
-       << " version=" << mSnapshot->Version() << " revision="
-       << mContext.mSnapshot->Revision() << " outcome=\"" << aOutcome << "\"");
+  LogEnd(aStatus, aOutcome);
   mContext.mMetrics.Count("beryllever_requests",
                           { { "status", std::to_string(aStatus) } });
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
@@ -923,33 +907,40 @@
   }
 }
 
-std::string
-Exchange::BreakFields(const std::string& aOutcome) const
-{
-  if (aOutcome == kAnswered) {
-    return "";
-  }
-  const auto silence = mResponse.HasBegun()
-                         ? duration_cast<milliseconds>(mContext.mClock.Now() -
-                                                       mResponse.LastForward())
-                         : milliseconds(-1);
-  return " silentMilliseconds=" + std::to_string(silence.count()) +
-         " limitMilliseconds=" +
-         std::to_string(
-           duration_cast<milliseconds>(mWait.TotalTime()).count()) +
-         " versionInForce=" + std::to_string(mContext.mSnapshot->Version()) +
-         " lastFailure=\"" + mLastFailure + "\"";
-}
-
-std::string
-Exchange::StopFields() const
+void
+Exchange::LogEnd(unsigned aStatus, const std::string& aOutcome) const
 {
-  if (!mContext.mStop) {
-    return "";
+  EndedRequest ended{ .mRequest = mMetadata.mRequestId,
+                      .mRoute = mAdmission.mRoute == nullptr
+                                  ? ""
+                                  : mAdmission.mRoute->mName,
+                      .mPool = mPool,
+                      .mEndpoint = mLastEndpoint,
+                      .mStatus = aStatus,
+                      .mAttempts = mAttempts,
+                      .mOrdinal = mRequest.mOrdinal,
+                      .mTimeToFirstByte = mResponse.TimeToFirstByte(),
+                      .mLongestPause = mResponse.LongestPause(),
+                      .mElapsed = mWait.Elapsed(),
+                      .mVersion = mSnapshot->Version(),
+                      .mRevision = mContext.mSnapshot->Revision(),
+                      .mOutcome = aOutcome };
+  if (mContext.mStop) {
+    ended.mArrivedAfterStop =
+      duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
+  }
+  if (aOutcome != kAnswered) {
+    ended.mBreak =
+      EndedRequest::Break{ .mLimit =
+                             duration_cast<milliseconds>(mWait.TotalTime()),
+                           .mVersionInForce = mContext.mSnapshot->Version(),
+                           .mLastFailure = mLastFailure };
+    if (mResponse.HasBegun()) {
+      ended.mBreak->mSilence = duration_cast<milliseconds>(
+        mContext.mClock.Now() - mResponse.LastForward());
+    }
   }
-  const auto age =
-    duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
-  return " arrivedAfterStopMilliseconds=" + std::to_string(age.count());
+  LOGI("Ended. " << FieldsText(ended));
 }
 
 }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -113,12 +113,7 @@
    * for complete. */
   void AbortResponse(const std::string& aReason);
   void Finish(unsigned aStatus, const std::string& aOutcome);
-  /** Fields of the log that tell what preceded an outcome other than a response
-   * of an endpoint. */
-  std::string BreakFields(const std::string& aOutcome) const;
-  /** Field of the log that tells when a request came to a process that is told
-   * to stop; empty before that. */
-  std::string StopFields() const;
+  void LogEnd(unsigned aStatus, const std::string& aOutcome) const;
 
   TrafficContext& mContext;
   std::shared_ptr<net::HttpServerConnection> mCaller;
