Let a second attempt take over only with a new event

Found by a newcomer's reading. Any bytes of the second endpoint ended the first attempt, half an event too, after which the second one could break off or skip events. They are buffered now until they complete a new event.

Also read, not run: a head that cannot be used and that came before the attempt stalled displaced the second attempt; the time of the last data was that of the other attempt where a break is put down to a stalled group; a response that arrives slowly but steadily counted as silent; a second attempt passed waiting requests by; the limit in the log had no sense for requests that were not admitted; a stalled attempt that broke off left no line.

--- a/src/gateway/internal/attempt.cpp
+++ b/src/gateway/internal/attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/attempt.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace beryllever::gateway {
@@ -8,11 +9,11 @@
 
 using std::chrono::duration_cast;
 
-/** The same for an endpoint whose agent is silent too. Leaves the caller time
- * for an answer from another endpoint. */
+/** Shorter limit if the endpoint's agent does not report either. Leaves the
+ * caller time for a response of another endpoint. */
 constexpr milliseconds kSilentEndpointTimeout{ 700 };
-/** Fraction of the request's timeout after which an idempotent request without
- * a response is retried on another endpoint. */
+/** Fraction of the request's timeout after which a second attempt is started
+ * for an idempotent request without a response. */
 constexpr double kIdempotentTimeoutFraction = 0.35;
 /** Longest time without data before an endpoint crashes. A group that stalls
  * breaks off its responses after a longer time. */
@@ -67,24 +68,34 @@
   return mIsForwarded && begin && aNow - *begin >= kSoundTime;
 }
 
+global::TimePoint
+Attempt::LastDataAt(const ResponseForwarder& aResponse) const
+{
+  return mIsForwarded ? std::max(aResponse.LastForward(), mHeadAt)
+                      : std::max({ mSentAt, mHeadAt, mBodyAt });
+}
+
 bool
 Attempt::WasStalled(const ResponseForwarder& aResponse,
                     global::TimePoint aNow) const
 {
-  const auto lastData = mIsForwarded ? aResponse.LastForward() : mHeadAt;
-  return mHead && aNow - lastData > kMaxSilence;
+  return mHead && aNow - LastDataAt(aResponse) > kMaxSilence;
 }
 
 bool
-Attempt::IsBrokenOffStream(const ResponseForwarder& aResponse,
-                           bool aIsResumed) const
+Attempt::MayEndAnywhere() const
 {
   const auto type = mHead->mFields[net::http::field::content_type];
   const bool isEvents =
     type.empty() || boost::algorithm::istarts_with(type, "text/event-stream");
-  const bool mayEndAnywhere =
-    !isEvents || mHead->mLength || mHead->mStatus != 200;
-  if (!mIsForwarded || mayEndAnywhere) {
+  return !isEvents || mHead->mLength || mHead->mStatus != 200;
+}
+
+bool
+Attempt::IsBrokenOffStream(const ResponseForwarder& aResponse,
+                           bool aIsResumed) const
+{
+  if (!mIsForwarded || MayEndAnywhere()) {
     return false;
   }
   return aResponse.IsInsideEvent() ||
--- a/src/gateway/internal/attempt.h
+++ b/src/gateway/internal/attempt.h
@@ -7,8 +7,8 @@
 
 namespace beryllever::gateway {
 
-/** Time without data after which a resumable stream is retried on another
- * endpoint. Longer than the stall of a group, and shorter than the 2 s after
+/** Time without data after which a second attempt is started for a resumable
+ * stream. Longer than the stall of a group, and shorter than the 2 s after
  * which callers disconnect. */
 constexpr milliseconds kStreamIdleTimeout{ 1750 };
 
@@ -37,9 +37,17 @@
 /** One attempt to serve a request at an endpoint. */
 struct Attempt
 {
-  /** Time until the next look at an endpoint that has sent no data for so long.
-   */
+  /** Shortest interval between checks of an attempt that has exceeded its time
+   * limit without data. */
   static constexpr milliseconds kSilenceCheckInterval{ 100 };
+  /** Longest such interval: callers wait for some seconds only. */
+  static constexpr milliseconds kMaxSilenceCheckInterval{ 500 };
+
+  /** Whether the response belongs to another request. */
+  bool IsMismatched() const { return mHeadKind == HeadKind::Mismatched; }
+  /** When the endpoint last sent a whole event, or data of a response that is
+   * no event stream; when the request was sent if it has not. */
+  global::TimePoint LastDataAt(const ResponseForwarder& aResponse) const;
 
   /** Whether data of the answer has come so long after its first event that
    * its endpoint does not crash as it begins to write. */
@@ -49,17 +57,20 @@
    * due to a stalled group. */
   bool WasStalled(const ResponseForwarder& aResponse,
                   global::TimePoint aNow) const;
+  /** Whether the response is whole wherever it ends in order: its length is
+   * stated, or it has no events. */
+  bool MayEndAnywhere() const;
   /** Whether a forwarded event stream that ended in good order was broken off.
    * A resumed stream may have no more events. */
   bool IsBrokenOffStream(const ResponseForwarder& aResponse,
                          bool aIsResumed) const;
-  /** Time without data after which the attempt is given up. aTime is the time
-   * that the request had on arrival. */
+  /** Time without data after which a second attempt is started. aTime is the
+   * time that the request had on arrival. */
   milliseconds Timeout(bool aIsEventStream,
                        bool aIsSilent,
                        global::TimePoint::duration aTime) const;
-  /** Time until the next look at an attempt that has sent no data for aAge and
-   * is given up after aLimit, or sooner if its endpoint's agent falls silent.
+  /** Time until the next check of an attempt that has sent no data for aAge and
+   * stalls after aLimit, or sooner if its endpoint's agent falls silent.
    */
   static milliseconds TimeToNextCheck(milliseconds aAge, milliseconds aLimit);
 
@@ -69,8 +80,7 @@
   ResponseMetadata mMetadata;
   /** Part of the body that has not been forwarded. */
   std::string mBody;
-  /** The response belongs to another request. */
-  bool mIsMismatched = false;
+  std::optional<HeadKind> mHeadKind;
   /** Bytes of responses to other requests. */
   size_t mDiscardedBytes = 0;
   bool mIsForwarded = false;
@@ -78,6 +88,8 @@
   bool mIsSound = false;
   global::TimePoint mSentAt{};
   global::TimePoint mHeadAt{};
+  /** When data that is not forwarded yet last came. */
+  global::TimePoint mBodyAt{};
 };
 
 }
--- a/src/gateway/internal/endedrequest.cpp
+++ b/src/gateway/internal/endedrequest.cpp
@@ -25,11 +25,11 @@
   text << " firstByteMilliseconds="
        << aEnded.mTimeToFirstByte.value_or(kNone).count()
        << " longestPauseMilliseconds=" << aEnded.mLongestPause.count();
-  if (const auto& broken = aEnded.mBreak) {
-    text << " silentMilliseconds=" << broken->mSilence.value_or(kNone).count()
-         << " limitMilliseconds=" << broken->mLimit.count()
-         << " versionInForce=" << broken->mVersionInForce << " lastFailure=\""
-         << broken->mLastFailure << '"';
+  if (const auto& local = aEnded.mLocalEnd) {
+    text << " silentMilliseconds=" << local->mSilence.value_or(kNone).count()
+         << " limitMilliseconds=" << local->mLimit.value_or(kNone).count()
+         << " versionInForce=" << local->mVersionInForce << " lastFailure=\""
+         << local->mLastFailure << '"';
   }
   text << " milliseconds=" << aEnded.mElapsed.count()
        << " version=" << aEnded.mVersion << " revision=" << aEnded.mRevision
--- a/src/gateway/internal/endedrequest.h
+++ b/src/gateway/internal/endedrequest.h
@@ -12,13 +12,13 @@
 /** What the last line of a request in the log tells. */
 struct EndedRequest
 {
-  /** What preceded an outcome other than a response of an endpoint. */
-  struct Break
+  /** Set unless an endpoint has responded to the end. */
+  struct LocalEnd
   {
     /** Time since data was last forwarded; none if no response had begun. */
     std::optional<milliseconds> mSilence;
-    /** Time that the request had on arrival. */
-    milliseconds mLimit{ 0 };
+    /** Time that the request had on arrival; none if it was not admitted. */
+    std::optional<milliseconds> mLimit;
     int64_t mVersionInForce = 0;
     std::string mLastFailure;
   };
@@ -36,7 +36,7 @@
   std::optional<milliseconds> mArrivedAfterStop;
   std::optional<milliseconds> mTimeToFirstByte;
   milliseconds mLongestPause{ 0 };
-  std::optional<Break> mBreak;
+  std::optional<LocalEnd> mLocalEnd;
   milliseconds mElapsed{ 0 };
   /** Version by which the request was admitted. */
   int64_t mVersion = 0;
@@ -44,7 +44,7 @@
   std::string mOutcome;
 };
 
-/** Fields of the line. */
+/** The line's fields, as key=value. */
 std::string
 FieldsText(const EndedRequest& aEnded);
 
--- a/src/gateway/internal/exchange.cpp
+++ b/src/gateway/internal/exchange.cpp
@@ -81,7 +81,7 @@
 void
 Exchange::StartDeadlineTimer()
 {
-  // Rounded up: a response that ends before its time limit counts as cut.
+  // Rounded up, so that no request ends before its time limit.
   const auto left =
     std::chrono::ceil<milliseconds>(mWait.Deadline() - mContext.mClock.Now());
   mDeadlineTimer.start(std::max(milliseconds(0), left));
@@ -277,55 +277,61 @@
 Exchange::ResponseHandlers(const Attempt& aAttempt)
 {
   const std::weak_ptr<Exchange> weak = weak_from_this();
-  // Only compared: the attempt may have ended.
+  // Only compared, since the attempt may have ended. No later attempt is taken
+  // for it: an ended one has no handlers.
   const Attempt* const attempt = &aAttempt;
   return { .mOnHead =
              [weak, attempt](const net::AnswerHead& aHead) {
                const auto self = weak.lock();
-               if (self && attempt == self->mSilentAttempt.get() &&
+               if (self && attempt == self->mStalledAttempt.get() &&
                    self->EndIfUnusable(aHead)) {
                  return;
                }
-               if (self && self->Select(attempt)) {
+               if (self && self->TryMakeCurrent(attempt)) {
                  self->HandleHead(aHead);
                }
              },
            .mOnBody =
              [weak, attempt](std::string_view aBytes) {
                const auto self = weak.lock();
-               if (self && attempt == self->mSilentAttempt.get()) {
-                 self->HandleSilentBody(aBytes);
-               } else if (self && self->Select(attempt)) {
+               if (self && attempt == self->mStalledAttempt.get()) {
+                 self->HandleStalledBody(aBytes);
+               } else if (self && self->TryMakeCurrent(attempt)) {
                  self->HandleBody(aBytes);
                }
              },
            .mOnEnd =
              [weak, attempt](net::AnswerEnd aEnd) {
                const auto self = weak.lock();
-               const bool isBrokenSilent =
-                 self && attempt == self->mSilentAttempt.get() &&
-                 (aEnd != net::AnswerEnd::Complete ||
-                  self->IsBrokenOffStream(*self->mSilentAttempt));
-               if (isBrokenSilent) {
-                 self->EndSilentAttempt(EndpointOutcome::Failed);
-               } else if (self && self->Select(attempt)) {
+               if (self && attempt == self->mStalledAttempt.get() &&
+                   !self->IsUsableEnd(*self->mStalledAttempt, aEnd)) {
+                 self->FailStalledAttempt("response ended: " +
+                                          std::string(net::NameOf(aEnd)));
+               } else if (self && self->TryMakeCurrent(attempt)) {
                  self->HandleEnd(aEnd);
                }
              } };
 }
 
 bool
-Exchange::Select(const Attempt* aAttempt)
+Exchange::TryMakeCurrent(const Attempt* aAttempt)
 {
   if (mIsFinished) {
     return false;
   }
-  if (aAttempt == mSilentAttempt.get()) {
-    ReturnToSilentAttempt();
+  if (aAttempt == mStalledAttempt.get()) {
+    ResumeStalledAttempt();
   }
   return aAttempt == mAttempt.get();
 }
 
+bool
+Exchange::IsUsableEnd(const Attempt& aAttempt, net::AnswerEnd aEnd) const
+{
+  return aEnd == net::AnswerEnd::Complete &&
+         aAttempt.mHeadKind == HeadKind::Usable && !IsBrokenOffStream(aAttempt);
+}
+
 bool
 Exchange::EndIfUnusable(const net::AnswerHead& aHead)
 {
@@ -335,12 +341,12 @@
     return false;
   }
   RecordStatements(
-    mContext, mSilentAttempt->mEndpoint, aHead.mStatus, metadata);
-  LOGI("The response of the silent endpoint is of no use. request="
-       << mMetadata.mRequestId << " endpoint=" << mSilentAttempt->mEndpoint.mId
+    mContext, mStalledAttempt->mEndpoint, aHead.mStatus, metadata);
+  LOGI("The response of the stalled attempt cannot be used. request="
+       << mMetadata.mRequestId << " endpoint=" << mStalledAttempt->mEndpoint.mId
        << " status=" << aHead.mStatus << " kind=" << NameOf(kind));
-  EndSilentAttempt(kind == HeadKind::NotExecuted ? EndpointOutcome::Refused
-                                                 : EndpointOutcome::Failed);
+  EndStalledAttempt(kind == HeadKind::NotExecuted ? EndpointOutcome::Refused
+                                                  : EndpointOutcome::Failed);
   return true;
 }
 
@@ -353,12 +359,12 @@
   mAttempt->mBody.clear();
   const ResponseMetadata& metadata = mAttempt->mMetadata;
   RecordStatements(mContext, mAttempt->mEndpoint, aHead.mStatus, metadata);
-  const HeadKind kind = ClassifyHead(aHead, metadata, mMetadata.mRequestId);
-  mAttempt->mIsMismatched = kind == HeadKind::Mismatched;
-  if (mAttempt->mIsMismatched || kind == HeadKind::NotExecuted) {
+  mAttempt->mHeadKind = ClassifyHead(aHead, metadata, mMetadata.mRequestId);
+  if (mAttempt->IsMismatched() ||
+      mAttempt->mHeadKind == HeadKind::NotExecuted) {
     return;
   }
-  if (kind == HeadKind::Unsigned) {
+  if (mAttempt->mHeadKind == HeadKind::Unsigned) {
     HandleBrokenAttempt("response is not signed");
     return;
   }
@@ -380,7 +386,7 @@
     return;
   }
   mContext.mBalancer.RecordData(mAttempt->mEndpoint.mId);
-  if (mAttempt->mIsMismatched) {
+  if (mAttempt->IsMismatched()) {
     mAttempt->mDiscardedBytes += aBytes.size();
     if (mAttempt->mDiscardedBytes > kMaxDiscardedBytes) {
       HandleBrokenAttempt("response to another request does not end");
@@ -396,22 +402,38 @@
 }
 
 void
-Exchange::HandleSilentBody(std::string_view aBytes)
+Exchange::HandleStalledBody(std::string_view aBytes)
 {
-  if (!mSilentAttempt->mIsForwarded || mResponse.CompletesEvent(aBytes)) {
-    ReturnToSilentAttempt();
+  mContext.mBalancer.RecordData(mStalledAttempt->mEndpoint.mId);
+  if (mStalledAttempt->mHeadKind != HeadKind::Usable) {
+    FailStalledAttempt("response cannot be used");
+    return;
+  }
+  if (!mStalledAttempt->mIsForwarded || mResponse.CompletesEvent(aBytes)) {
+    ResumeStalledAttempt();
     HandleBody(aBytes);
     return;
   }
   if (mResponse.Write(aBytes) == ForwardResult::EventTooLarge) {
-    EndSilentAttempt(EndpointOutcome::Failed);
+    FailStalledAttempt("event is too large");
   }
 }
 
+void
+Exchange::FailStalledAttempt(const std::string& aReason)
+{
+  mLastFailure = aReason;
+  LOGW("Attempt failed. request="
+       << mMetadata.mRequestId << " endpoint=" << mStalledAttempt->mEndpoint.mId
+       << " attempt=" << mAttempts - 1 << " reused=0 reason=" << aReason);
+  EndStalledAttempt(EndpointOutcome::Failed);
+}
+
 void
 Exchange::BufferBody(std::string_view aBytes)
 {
   mAttempt->mBody.append(aBytes);
+  mAttempt->mBodyAt = mContext.mClock.Now();
   if (mAttempt->mBody.size() <= kMaxBufferedResponseBytes) {
     return;
   }
@@ -437,10 +459,10 @@
 {
   mAttempt->mIsForwarded = true;
   if (!mResponse.HasBegun()) {
-    EndSilentAttempt(EndpointOutcome::Failed);
+    EndStalledAttempt(EndpointOutcome::Failed);
   }
-  if (mSilentAttempt) {
-    // Of the two, the first that has an event contributes.
+  if (mStalledAttempt) {
+    // The first of the two that sends an event continues the response.
     return;
   }
   if (mContext.mStop) {
@@ -452,12 +474,13 @@
 void
 Exchange::ForwardBody(std::string_view aBytes)
 {
-  if (mSilentAttempt && mResponse.WouldSkipEvents(aBytes)) {
-    HandleBrokenAttempt("resumed stream skips events");
+  std::string bytes = std::exchange(mAttempt->mBody, {});
+  bytes += aBytes;
+  if (mStalledAttempt && !CanTakeOver(bytes)) {
     return;
   }
-  EndSilentAttempt(EndpointOutcome::Failed);
-  switch (mResponse.Write(aBytes)) {
+  EndStalledAttempt(EndpointOutcome::Failed);
+  switch (mResponse.Write(bytes)) {
     case ForwardResult::SkippedEvents:
       AbortResponse("resumed stream skips events");
       return;
@@ -477,6 +500,25 @@
   }
 }
 
+bool
+Exchange::CanTakeOver(const std::string& aBytes)
+{
+  switch (mResponse.CheckResumption(aBytes)) {
+    case ResumptionCheck::SkipsEvents:
+      HandleBrokenAttempt("resumed stream skips events");
+      return false;
+    case ResumptionCheck::NoEvent:
+      mAttempt->mBody = aBytes;
+      if (aBytes.size() > kMaxBufferedResponseBytes) {
+        HandleBrokenAttempt("event is too large");
+      }
+      return false;
+    case ResumptionCheck::Continues:
+      break;
+  }
+  return true;
+}
+
 void
 Exchange::HandleCallerDrained()
 {
@@ -492,13 +534,13 @@
   if (!mAttempt || mIsFinished) {
     return;
   }
-  if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsMismatched) {
+  if (aEnd == net::AnswerEnd::Complete && mAttempt->IsMismatched()) {
     LOGW("Discarded a late response to another request. request="
          << mMetadata.mRequestId
          << " answeredRequest=" << mAttempt->mMetadata.mRequestId
          << " endpoint=" << mAttempt->mEndpoint.mId);
     mAttempt->mHead.reset();
-    mAttempt->mIsMismatched = false;
+    mAttempt->mHeadKind.reset();
     mAttempt->mLease.mConnection->AwaitNextAnswer(ResponseHandlers(*mAttempt));
     return;
   }
@@ -512,17 +554,13 @@
     HandleNotExecuted();
     return;
   }
-  // A response whose end is that of its connection may have been broken off.
-  const bool isEmptyUnframed = mSilentAttempt && mAttempt->mIsForwarded &&
-                               IsEventStream() && mRequest.mMethod != "HEAD" &&
-                               !mAttempt->mHead->mIsChunked &&
-                               !mAttempt->mHead->mLength;
-  if (aEnd == net::AnswerEnd::Complete && isEmptyUnframed) {
-    HandleBrokenAttempt("stream ended without an event");
+  if (aEnd == net::AnswerEnd::Complete && mStalledAttempt &&
+      IsBrokenOffResumption()) {
+    HandleBrokenAttempt("stream ended inside an event or without one");
     return;
   }
   if (aEnd == net::AnswerEnd::Complete && mAttempt->mIsForwarded) {
-    EndSilentAttempt(EndpointOutcome::Failed);
+    EndStalledAttempt(EndpointOutcome::Failed);
   }
   if (aEnd == net::AnswerEnd::Complete && IsBrokenOffStream(*mAttempt)) {
     RecordBreak();
@@ -538,6 +576,16 @@
                       std::string(net::NameOf(aEnd)));
 }
 
+bool
+Exchange::IsBrokenOffResumption() const
+{
+  const bool isInsideEvent =
+    mAttempt->mBody.find_first_not_of("\r\n") != std::string::npos;
+  return mAttempt->mIsForwarded && IsEventStream() &&
+         mRequest.mMethod != "HEAD" && !mAttempt->MayEndAnywhere() &&
+         (isInsideEvent || !mAttempt->mHead->mIsChunked);
+}
+
 bool
 Exchange::IsBrokenOffStream(const Attempt& aAttempt) const
 {
@@ -561,13 +609,14 @@
 {
   const unsigned status = mAttempt->mHead->mStatus;
   const bool isFailure = status >= 500;
-  // A complete response to a resumption has none of the events that are due.
-  const bool isUseless = mResponse.HasBegun() && !mAttempt->mIsForwarded;
-  if (mSilentAttempt && (isFailure || isUseless)) {
+  // It cannot continue the stream.
+  const bool isUnforwardedResumption =
+    mResponse.HasBegun() && !mAttempt->mIsForwarded;
+  if (mStalledAttempt && (isFailure || isUnforwardedResumption)) {
     mLastFailure = "endpoint returned status " + std::to_string(status);
     EndAttempt(isFailure ? EndpointOutcome::Failed
                          : EndpointOutcome::Inconclusive);
-    ReturnToSilentAttempt();
+    ResumeStalledAttempt();
     return;
   }
   if (isFailure && !mAttempt->mIsForwarded && TryConsumeRetry()) {
@@ -581,7 +630,7 @@
     PlaceRequest();
     return;
   }
-  if (isUseless) {
+  if (isUnforwardedResumption) {
     AbortResponse("endpoint returned status " + std::to_string(status) +
                   " for a resumed stream");
     return;
@@ -589,7 +638,7 @@
   if (status / 100 == 2) {
     mContext.mPromptGuard.RecordSound(mMetadata);
   }
-  EndSilentAttempt(EndpointOutcome::Failed);
+  EndStalledAttempt(EndpointOutcome::Failed);
   http::fields fields = mAttempt->mHead->mFields;
   RemoveHopByHopFields(fields);
   const std::string body = std::move(mAttempt->mBody);
@@ -678,8 +727,8 @@
 void
 Exchange::Retry(const std::string& aReason)
 {
-  if (mSilentAttempt) {
-    ReturnToSilentAttempt();
+  if (mStalledAttempt) {
+    ResumeStalledAttempt();
     return;
   }
   if (!CanRetry() || !mContext.RetryBudgetFor(mPool).TryConsume()) {
@@ -716,29 +765,30 @@
 }
 
 void
-Exchange::ReturnToSilentAttempt()
+Exchange::ResumeStalledAttempt()
 {
   EndAttempt(EndpointOutcome::Inconclusive);
-  mAttempt = std::move(mSilentAttempt);
+  mAttempt = std::move(mStalledAttempt);
   mLastEndpoint = mAttempt->mEndpoint.mId;
-  LOGI("The silent endpoint keeps the request. request="
+  LOGI("The first attempt continues; the second one has ended. request="
        << mMetadata.mRequestId << " endpoint=" << mLastEndpoint
        << " attempts=" << mAttempts << " reason=\"" << mLastFailure << "\"");
   mAttemptTimer.start(Attempt::kSilenceCheckInterval);
 }
 
 void
-Exchange::EndSilentAttempt(EndpointOutcome aOutcome)
+Exchange::EndStalledAttempt(EndpointOutcome aOutcome)
 {
-  if (!mSilentAttempt) {
+  if (!mStalledAttempt) {
     return;
   }
-  End(std::move(mSilentAttempt), aOutcome);
+  End(std::move(mStalledAttempt), aOutcome);
   if (mResponse.HasBegun()) {
     mResponse.BeginResumption();
   }
-  if (mAttempt && mAttempt->mIsForwarded && mResponse.HasBegun()) {
-    mResponse.Begin(*mAttempt->mHead);
+  if (mAttempt && mAttempt->mIsForwarded) {
+    mResponse.BeginContribution();
+    mResponse.Write(std::exchange(mAttempt->mBody, {}));
   }
 }
 
@@ -754,11 +804,8 @@
     Retry("no_connection");
     return;
   }
-  const bool isForwarded = mAttempt->mIsForwarded;
-  const auto since = isForwarded
-                       ? std::max(mResponse.LastForward(), mAttempt->mHeadAt)
-                       : mAttempt->mSentAt;
-  const auto age = duration_cast<milliseconds>(mContext.mClock.Now() - since);
+  const auto age = duration_cast<milliseconds>(mContext.mClock.Now() -
+                                               mAttempt->LastDataAt(mResponse));
   const milliseconds limit =
     mAttempt->Timeout(IsEventStream(),
                       mContext.mBalancer.IsSilent(mAttempt->mEndpoint.mId),
@@ -772,40 +819,41 @@
     mAttemptTimer.start(kStreamIdleTimeout);
     return;
   }
-  TryBesideSilentAttempt(age, limit);
+  TryHedge(age, limit);
 }
 
 void
-Exchange::TryBesideSilentAttempt(milliseconds aSilence, milliseconds aLimit)
+Exchange::TryHedge(milliseconds aSilence, milliseconds aLimit)
 {
   if (!mAdmission.mRoute->IsRepeatable() || !CanRetry()) {
     return;
   }
-  const bool isSuspected =
+  const bool mustWait =
+    mWait.MustQueue() ||
     mContext.mPromptGuard.FindRefusal(mMetadata).has_value();
-  // The silent endpoint may only be busy: a place in another queue would add
-  // load and gain nothing.
-  const Placement placement = isSuspected ? Placement{} : FindPlace(false);
+  // The endpoint may only be busy: a place in another queue would add load and
+  // gain nothing.
+  const Placement placement = mustWait ? Placement{} : FindPlace(false);
   if (placement.mStatus != PlacementStatus::Chosen ||
       !mContext.RetryBudgetFor(mPool).TryConsume()) {
-    // Later and later, since a look takes the longer the more endpoints there
-    // are, and many requests are silent at once.
-    mAttemptTimer.start(
-      std::max(Attempt::kSilenceCheckInterval, aSilence - aLimit));
+    // Backs off exponentially: selecting an endpoint costs time in proportion
+    // to the pool, and many requests may stall at once.
+    mAttemptTimer.start(std::clamp(aSilence - aLimit,
+                                   Attempt::kSilenceCheckInterval,
+                                   Attempt::kMaxSilenceCheckInterval));
     return;
   }
-  LOGW("Endpoint sent no data in time; trying another endpoint beside it. "
-       "request="
+  LOGW("Endpoint sent no data in time; starting a second attempt. request="
        << mMetadata.mRequestId << " endpoint=" << mAttempt->mEndpoint.mId
        << " silentMilliseconds=" << aSilence.count()
        << " otherEndpoint=" << placement.mEndpoint->mId);
   mContext.mMetrics.Count("beryllever_repeats", { { "reason", "silent" } });
   mMayHaveExecuted = true;
   mLastFailure = "endpoint sent no data in time";
-  if (mSilentAttempt) {
+  if (mStalledAttempt) {
     EndAttempt(EndpointOutcome::Failed);
   } else {
-    mSilentAttempt = std::move(mAttempt);
+    mStalledAttempt = std::move(mAttempt);
   }
   Send(*placement.mEndpoint);
 }
@@ -816,6 +864,7 @@
   if (mIsFinished) {
     return;
   }
+  // The timer may fire slightly early.
   if (mContext.mClock.Now() < mWait.Deadline()) {
     StartDeadlineTimer();
     return;
@@ -900,7 +949,7 @@
   mContext.mMetrics.Sample("beryllever_request_milliseconds",
                            static_cast<double>(mWait.Elapsed().count()));
   mAttempt.reset();
-  EndSilentAttempt(EndpointOutcome::Inconclusive);
+  EndStalledAttempt(EndpointOutcome::Inconclusive);
   mContext.WakeQueued();
   if (const auto onEnd = std::move(mOnEnd)) {
     onEnd();
@@ -930,13 +979,16 @@
       duration_cast<milliseconds>(mRequest.mArrival - mContext.mStop->mBegin);
   }
   if (aOutcome != kAnswered) {
-    ended.mBreak =
-      EndedRequest::Break{ .mLimit =
-                             duration_cast<milliseconds>(mWait.TotalTime()),
-                           .mVersionInForce = mContext.mSnapshot->Version(),
-                           .mLastFailure = mLastFailure };
+    ended.mLocalEnd =
+      EndedRequest::LocalEnd{ .mLimit =
+                                duration_cast<milliseconds>(mWait.TotalTime()),
+                              .mVersionInForce = mContext.mSnapshot->Version(),
+                              .mLastFailure = mLastFailure };
+    if (mAdmission.mRoute != nullptr) {
+      ended.mLocalEnd->mLimit = duration_cast<milliseconds>(mWait.TotalTime());
+    }
     if (mResponse.HasBegun()) {
-      ended.mBreak->mSilence = duration_cast<milliseconds>(
+      ended.mLocalEnd->mSilence = duration_cast<milliseconds>(
         mContext.mClock.Now() - mResponse.LastForward());
     }
   }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -28,7 +28,7 @@
   const std::string& Id() const { return mMetadata.mRequestId; }
   /** Ends the request at once, because the process stops. */
   void HandleStop();
-  /** Cancels the attempt in progress, because the caller has disconnected. */
+  /** Cancels all attempts, because the caller has disconnected. */
   void HandleCallerGone();
   /** Resumes reading from the endpoint, because the caller has read the data
    * written so far. */
@@ -63,17 +63,20 @@
   std::string SerializeRequest(const published::Endpoint& aEndpoint) const;
   /** Handlers of the response to the attempt. */
   net::HttpClientConnection::Handlers ResponseHandlers(const Attempt& aAttempt);
-  /** Makes the attempt that has sent something the current one. Returns false
-   * if the attempt has ended. */
-  bool Select(const Attempt* aAttempt);
-  /** Ends the silent attempt if its response cannot serve the request, so that
-   * the current attempt goes on. */
+  /** Ends the other attempt if this is the stalled one. Returns whether this
+   * attempt is open. */
+  bool TryMakeCurrent(const Attempt* aAttempt);
+  /** Ends the stalled attempt if its response cannot serve the request. Returns
+   * whether it did. */
   bool EndIfUnusable(const net::AnswerHead& aHead);
   void HandleHead(const net::AnswerHead& aHead);
   void HandleBody(std::string_view aBytes);
-  /** Forwards data of the silent attempt, which goes on if an event has become
-   * complete. */
-  void HandleSilentBody(std::string_view aBytes);
+  /** Handles data of the stalled attempt, which becomes the current one if it
+   * completes an event. */
+  void HandleStalledBody(std::string_view aBytes);
+  void FailStalledAttempt(const std::string& aReason);
+  /** Whether an attempt that ends so has a whole response. */
+  bool IsUsableEnd(const Attempt& aAttempt, net::AnswerEnd aEnd) const;
   /** Buffers data of a response that is not being forwarded. */
   void BufferBody(std::string_view aBytes);
   void HandleEnd(net::AnswerEnd aEnd);
@@ -81,14 +84,16 @@
   void HandleNotExecuted();
   void HandleBrokenAttempt(const std::string& aReason);
   void HandleAttemptTimeout();
-  /** Tries another endpoint if one has room, and keeps the attempt that was
-   * silent first. */
-  void TryBesideSilentAttempt(milliseconds aSilence, milliseconds aLimit);
+  /** Starts a second attempt if an endpoint has a free slot. Of three, the
+   * second one ends. */
+  void TryHedge(milliseconds aSilence, milliseconds aLimit);
   void HandleDeadline();
 
   bool IsEventStream() const;
   /** Whether an event stream that ended in good order was broken off. */
   bool IsBrokenOffStream(const Attempt& aAttempt) const;
+  /** Whether a second attempt that ended in order may have been broken off. */
+  bool IsBrokenOffResumption() const;
   /** Whether a request that may have run can be retried; consumes a retry of
    * the pool if so. */
   bool TryConsumeRetry() const;
@@ -97,14 +102,17 @@
   /** Ends the current attempt. */
   void EndAttempt(EndpointOutcome aOutcome);
   void End(std::unique_ptr<Attempt> aAttempt, EndpointOutcome aOutcome);
-  /** Ends the current attempt and goes on with the silent one. */
-  void ReturnToSilentAttempt();
-  /** Ends the silent attempt, if there is one; the current one takes over. */
-  void EndSilentAttempt(EndpointOutcome aOutcome);
+  /** Ends the current attempt; the stalled one becomes the current one. */
+  void ResumeStalledAttempt();
+  /** Ends the stalled attempt, if there is one; the current one takes over. */
+  void EndStalledAttempt(EndpointOutcome aOutcome);
   /** Retries on another endpoint, or fails the request if no retry is left. */
   void Retry(const std::string& aReason);
   void ForwardHead();
   void ForwardBody(std::string_view aBytes);
+  /** Whether these bytes of the second attempt continue the response; buffers
+   * them or ends the attempt if not. */
+  bool CanTakeOver(const std::string& aBytes);
   /** Sends a response that the gateway generates itself. */
   void RespondLocally(unsigned aStatus,
                       const std::string& aReason,
@@ -128,13 +136,13 @@
   std::set<std::string> mTriedEndpoints;
   int mAttempts = 0;
   std::unique_ptr<Attempt> mAttempt;
-  /** Attempt that has sent no data in time. It stays open while another
-   * endpoint is tried; the first of both that contributes to the response goes
-   * on. */
-  std::unique_ptr<Attempt> mSilentAttempt;
-  /** An attempt that has ended may have run the request: its response was
-   * broken or invalid, or it was retried after a server error or because no
-   * data came in time. Says nothing about the attempt in progress. */
+  /** Attempt that has sent no data in time. It stays open beside a second one;
+   * the first of both that continues the response goes on alone. */
+  std::unique_ptr<Attempt> mStalledAttempt;
+  /** An attempt other than the current one may have run the request: its
+   * response was broken or invalid, or it was retried after a server error or
+   * because no data came in time. Says nothing about the attempt in progress.
+   */
   bool mMayHaveExecuted = false;
   /** An endpoint has stated that it did not run the request. */
   bool mWasRefused = false;
--- a/src/gateway/internal/responseforwarder.cpp
+++ b/src/gateway/internal/responseforwarder.cpp
@@ -48,6 +48,21 @@
   mTimeToFirstByte = duration_cast<milliseconds>(mClock.Now() - mArrival);
 }
 
+ResumptionCheck
+ResponseForwarder::CheckResumption(std::string_view aBytes) const
+{
+  if (!mIsEventStream) {
+    return ResumptionCheck::Continues;
+  }
+  EventAssembler events = mEvents;
+  events.BeginResumption();
+  const bool hasEvent = !events.Append(aBytes).empty();
+  if (events.HasGap()) {
+    return ResumptionCheck::SkipsEvents;
+  }
+  return hasEvent ? ResumptionCheck::Continues : ResumptionCheck::NoEvent;
+}
+
 ForwardResult
 ResponseForwarder::Write(std::string_view aBytes)
 {
--- a/src/gateway/internal/responseforwarder.h
+++ b/src/gateway/internal/responseforwarder.h
@@ -21,6 +21,16 @@
   EventTooLarge,
 };
 
+/** What a resumption would do for the caller. */
+enum class ResumptionCheck
+{
+  /** There is no new event yet. */
+  NoEvent,
+  /** Events are left out. */
+  SkipsEvents,
+  Continues,
+};
+
 /**
  * Forwards a response to the caller while it arrives, event by event if it is a
  * stream. Several attempts may contribute to the response; it keeps the head of
@@ -38,6 +48,8 @@
   bool HasBegun() const { return mStatus != 0; }
   /** Forwards the head, or ignores it if the response has begun. */
   void Begin(const net::AnswerHead& aHead);
+  /** Records that another attempt continues the response from now on. */
+  void BeginContribution() { mAttemptBegin.reset(); }
   /** Records that a whole response is about to be sent by other means. */
   void BeginWhole(unsigned aStatus);
   ForwardResult Write(std::string_view aBytes);
@@ -47,14 +59,9 @@
   {
     return !mIsEventStream || mEvents.CompletesEvent(aBytes);
   }
-  /** Whether a resumption that begins with these bytes leaves out events. */
-  bool WouldSkipEvents(std::string_view aBytes) const
-  {
-    EventAssembler events = mEvents;
-    events.BeginResumption();
-    events.Append(aBytes);
-    return mIsEventStream && events.HasGap();
-  }
+  /** What the response of another endpoint that begins with these bytes does
+   * for the caller. */
+  ResumptionCheck CheckResumption(std::string_view aBytes) const;
   /** Discards a partial event; another attempt continues after LastEventId().
    */
   void BeginResumption() { mEvents.BeginResumption(); }
--- a/src/gateway/internal/trafficcontext.cpp
+++ b/src/gateway/internal/trafficcontext.cpp
@@ -13,7 +13,7 @@
 /** Interval at which expired connections are closed and idle endpoints that
  * are not in the snapshot are removed from the balancer. */
 constexpr milliseconds kSweepInterval{ 500 };
-/** Delay of a sweep above which it is logged that the thread stood still: much
+/** Delay of a sweep above which it is logged that the thread was blocked: much
  * of the time for which callers of streams wait for an event. */
 constexpr milliseconds kMaxSweepDelay{ 250 };
 
@@ -60,7 +60,7 @@
   if (delay <= kMaxSweepDelay) {
     return;
   }
-  LOGW("The traffic thread stood still. milliseconds=" << delay.count());
+  LOGW("The traffic thread was blocked. delayMilliseconds=" << delay.count());
   mMetrics.Count("beryllever_traffic_stalls");
 }
 
